--- /dev/null
+++ b/tests/driver.py
@@ -0,0 +1,121 @@
+"""What the tests share: settings to start from, and a driver that keeps a balancer's clock and timers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from cedarcross.balance import Balancer
+from cedarcross.interface import (
+    Action,
+    AttemptEnded,
+    EndpointsListed,
+    EndpointState,
+    Event,
+    Idempotency,
+    Limits,
+    ListedEndpoint,
+    ListKind,
+    Outcome,
+    RepeatScope,
+    RequestArrived,
+    RequestClass,
+    Safety,
+    Send,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+
+SAFE = RequestClass("safe", aim_ms=500, deadline_ms=2000, worth=1, idempotency=Idempotency.SAFE)
+UNSAFE = replace(SAFE, name="unsafe", worth=5, idempotency=Idempotency.UNSAFE)
+KEYED = replace(
+    SAFE,
+    name="keyed",
+    idempotency=Idempotency.KEYED,
+    repeat_scope=RepeatScope.ZONE,
+    repeat_window_ms=800,
+)
+SETTINGS = Settings(
+    classes=(SAFE, UNSAFE, KEYED),
+    zone="a",
+    proxies=3,
+    limits=Limits(max_attempts=4),
+    safety=Safety(cold_share=0.2, cold_ms=10_000, push_multiple=3, push_window_ms=1500),
+)
+
+
+def endpoint(
+    name: str,
+    zone: str = "a",
+    cell: int = 0,
+    state: EndpointState = EndpointState.READY,
+    started_ms: float | None = None,
+) -> ListedEndpoint:
+    return ListedEndpoint(name, zone, cell, state=state, started_ms=started_ms)
+
+
+def full(*endpoints: ListedEndpoint) -> EndpointsListed:
+    return EndpointsListed(ListKind.FULL, endpoints)
+
+
+def delta(*endpoints: ListedEndpoint) -> EndpointsListed:
+    return EndpointsListed(ListKind.DELTA, endpoints)
+
+
+class Driver:
+    """Plays the proxy: hands over events, fires timers when due, remembers the attempts sent."""
+
+    def __init__(
+        self,
+        settings: Settings = SETTINGS,
+        endpoints: Iterable[ListedEndpoint] = (endpoint("s1"), endpoint("s2"), endpoint("s3")),
+        seed: int = 1,
+    ) -> None:
+        self.balancer = Balancer(settings, seed)
+        self.now_ms = 1000.0
+        self.timers: list[tuple[float, int]] = []
+        self.sent: dict[int, list[str]] = {}
+        self.log: list[Action] = []
+        self.last_id = 0
+        self.tell(EndpointsListed(ListKind.RESTORED, tuple(endpoints)))
+        for known in self.balancer.membership.endpoints.values():
+            known.limit = 4.0  # past the slow start
+
+    def tell(self, *events: Event) -> list[Action]:
+        actions = self.balancer.handle(self.now_ms, events)
+        for action in actions:
+            if isinstance(action, SetTimer):
+                self.timers.append((self.now_ms + action.delay_ms, action.token))
+            elif isinstance(action, Send):
+                self.sent.setdefault(action.request_id, []).append(action.endpoint)
+        self.log += actions
+        return [a for a in actions if not isinstance(a, SetTimer)]
+
+    def wait(self, ms: float) -> list[Action]:
+        """Let time pass; what was done when timers fired meanwhile."""
+        until, done = self.now_ms + ms, []
+        while due := [t for t in self.timers if t[0] <= until]:
+            timer = min(due)
+            self.timers.remove(timer)
+            self.now_ms = max(self.now_ms, timer[0])
+            done += self.tell(TimerFired(timer[1]))
+        self.now_ms = until
+        return done
+
+    def request(self, class_name: str = "safe", deadline_ms: float | None = None) -> tuple[int, list[Action]]:
+        self.last_id += 1
+        return self.last_id, self.tell(RequestArrived(self.last_id, class_name, deadline_ms))
+
+    def end(self, request_id: int, outcome: Outcome, latency_ms: float = 50.0) -> list[Action]:
+        """End the last attempt of a request."""
+        attempt = len(self.sent[request_id]) - 1
+        answered = outcome is Outcome.OK
+        return self.tell(AttemptEnded(request_id, attempt, outcome, latency_ms, answered))
+
+    def serve(self, count: int, class_name: str = "safe", latency_ms: float = 50.0) -> None:
+        """Have `count` requests served, one after the other."""
+        for _ in range(count):
+            request_id, _ = self.request(class_name)
+            self.wait(latency_ms)
+            self.end(request_id, Outcome.OK, latency_ms)
--- /dev/null
+++ b/tests/test_large_fleets.py
@@ -0,0 +1,146 @@
+"""What a large fleet of proxies needs, tried on one of them: a subset of the servers, a share of the work."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from cedarcross.balance import SUBSET_LEAST, Demand, Gate, Pool
+from cedarcross.interface import Objective, Outcome, Refuse
+from tests.driver import SETTINGS, Driver, endpoint
+
+LARGE = replace(SETTINGS, proxies=300)
+FLEET = [endpoint(f"s{i}", "a", i // 8) for i in range(60)]
+
+
+def pool(ordinal: int) -> Pool:
+    driver = Driver(replace(LARGE, ordinal=ordinal), FLEET)
+    return driver.balancer.membership.near
+
+
+def test_subset_is_small_and_kept() -> None:
+    """Danger: a spread over all servers costs connections, and shows too little of each."""
+    driver = Driver(LARGE, FLEET)
+    driver.serve(200)
+    assert len({servers[0] for servers in driver.sent.values()}) == SUBSET_LEAST
+
+
+def test_few_proxies_use_all_servers() -> None:
+    driver = Driver(SETTINGS, FLEET[:10])
+    driver.serve(200)
+    assert len({servers[0] for servers in driver.sent.values()}) == 10
+
+
+def test_subsets_of_all_proxies_lie_evenly() -> None:
+    used = Counter(e.listed.name for ordinal in range(300) for e in pool(ordinal).in_use(1000.0))
+    assert len(used) == 60
+    assert min(used.values()) > 0.7 * 300 * SUBSET_LEAST / 60
+    assert max(used.values()) < 1.3 * 300 * SUBSET_LEAST / 60
+
+
+def test_suspended_servers_of_the_subset_are_replaced() -> None:
+    own = pool(0)
+    for server in own.ring[:3]:
+        server.failed(1000.0, 5000.0, 5000.0)
+    assert own.in_use(1001.0) == own.ring[3 : 3 + SUBSET_LEAST]
+
+
+def test_cold_servers_do_not_count_to_the_subset() -> None:
+    cold = [endpoint(e.name, e.zone, e.cell, started_ms=990) for e in FLEET[:SUBSET_LEAST]]
+    driver = Driver(LARGE, [*cold, *FLEET[SUBSET_LEAST:]])
+    own = driver.balancer.membership.near
+    used = own.in_use(1000.0)
+    assert sum(e.listed.started_ms is None for e in used) == SUBSET_LEAST
+
+
+def test_gate_admits_its_share() -> None:
+    gate = Gate()
+    while gate.share > 0.5:
+        gate.answered(late=True)
+    admitted = 0
+    for _ in range(1000):
+        gate.offer("", 10.0, gate.share)
+        if gate.admits("", 10.0):
+            gate.take("", 10.0)
+            admitted += 1
+    assert 400 < admitted < 500
+
+
+def test_gate_recovers_with_answers_in_time() -> None:
+    gate = Gate()
+    for _ in range(20):
+        gate.answered(late=True)
+    assert gate.share < 0.2
+    for _ in range(50):
+        gate.answered(late=False)
+    assert gate.share == 1.0
+
+
+def test_crowded_fleet_is_sent_less() -> None:
+    """Danger: no limit on own requests holds back a crowd of proxies that have one each."""
+    driver = Driver(LARGE, FLEET)
+    for latency_ms, most in ((50, 61), (490, 61), (490, 30)):
+        before = len(driver.sent)
+        for _ in range(60):
+            request, _ = driver.request()
+            driver.wait(latency_ms)
+            if request in driver.sent:
+                driver.end(request, Outcome.OK, latency_ms)
+        assert 0 < len(driver.sent) - before < most
+
+
+def test_what_the_gate_keeps_back_is_refused_at_once() -> None:
+    """Danger: refused after a wait, the client's next try is late before it comes."""
+    driver = Driver(LARGE, FLEET)
+    driver.balancer.membership.near.gate.share = 0.01
+    request, actions = driver.request()
+    assert actions == [Refuse(request)]
+
+
+def test_an_attempt_counts_as_late_before_it_times_out() -> None:
+    """Danger: told by time-outs, a crowd is noticed a whole deadline after it began."""
+    driver = Driver(LARGE, FLEET)
+    driver.serve(50)
+    gate = driver.balancer.membership.near.gate
+    request, _ = driver.request()
+    driver.wait(400)
+    assert gate.share < 1
+    share = gate.share
+    driver.end(request, Outcome.TIMEOUT, 500)
+    assert gate.share == share
+
+
+def test_gate_rests_where_few_share_the_servers() -> None:
+    driver = Driver(SETTINGS, FLEET[:10])
+    for _ in range(10):
+        request, actions = driver.request()
+        if actions:
+            driver.wait(500)
+            driver.end(request, Outcome.TIMEOUT, 500)
+    assert driver.balancer.membership.near.gate.share == 1
+
+
+def test_dear_classes_are_admitted_first_and_the_worst_served_counts() -> None:
+    """Danger: shed blindly, the work that earns most goes with the rest; the cheapest class starves."""
+    objective = Objective(whole=0.8, worst_class=0.2)
+    demand = Demand(replace(LARGE, objective=objective))
+    for _ in range(200):
+        demand.arrived("safe", 10)
+        demand.arrived("unsafe", 10)
+    assert demand.part("unsafe", 0.5) > 0.95 and demand.part("safe", 0.5) < 0.05
+    for _ in range(100):
+        demand.ended("keyed", 0.0)
+    assert demand.ranking()[0] == "keyed"
+
+
+def test_unanswered_time_out_pauses_a_server_only_while_the_fleet_is_not_crowded() -> None:
+    """Danger: a hung server turns nothing away; but in a crowd, pauses crowd the others."""
+    for share, paused in ((1.0, True), (0.3, False)):
+        driver = Driver(LARGE, FLEET)
+        driver.balancer.membership.near.gate.share = share
+        while not driver.sent:
+            request, _ = driver.request("unsafe")
+        driver.wait(500)
+        driver.end(request, Outcome.TIMEOUT, 500)
+        server = driver.balancer.membership.endpoints[driver.sent[request][0]]
+        assert server.suspended(driver.now_ms) == paused
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,208 @@
+"""The ordinary path: budget, backoff, two draws, deadline."""
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from cedarcross.balance import Balancer, RetryBudget, backoff_ms
+from cedarcross.interface import (
+    AttemptEnded,
+    EndpointsListed,
+    EndpointState,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Send,
+    SetTimer,
+    Subscribe,
+    TimerFired,
+)
+from tests.driver import SAFE, SETTINGS, Driver, delta, endpoint, full
+
+
+def test_budget_starts_full_pays_ten_retries_and_earns_one_a_success() -> None:
+    budget = RetryBudget()
+    assert [budget.spend() for _ in range(11)] == [True] * 10 + [False]
+    for _ in range(9):
+        budget.earn()
+    assert not budget.spend()
+    budget.earn()
+    assert budget.spend()
+
+
+def test_budget_never_holds_more_than_its_capacity() -> None:
+    budget = RetryBudget()
+    for _ in range(50):
+        budget.earn()
+    assert sum(budget.spend() for _ in range(20)) == 10
+
+
+def test_backoff_is_decorrelated_jitter() -> None:
+    random = Random(3)
+    waits = [backoff_ms(100, random) for _ in range(1000)]
+    assert 100 <= min(waits) < 110 and 290 < max(waits) <= 300
+    later = [backoff_ms(1000, random) for _ in range(1000)]
+    assert 100 <= min(later) < 150 and 2900 < max(later) <= 3000
+    assert max(backoff_ms(1e9, random) for _ in range(10)) == 30_000
+
+
+def test_retry_waits_by_the_jitter_and_goes_elsewhere() -> None:
+    driver = Driver()
+    request, _ = driver.request()
+    driver.end(request, Outcome.ERROR)
+    assert driver.wait(99) == []
+    assert len(driver.wait(202)) == 1
+    first, second = driver.sent[request]
+    assert first != second
+
+
+def test_retry_with_nowhere_else_goes_back() -> None:
+    driver = Driver(endpoints=[endpoint("only")])
+    request, _ = driver.request()
+    driver.end(request, Outcome.RESET)
+    driver.wait(301)
+    assert driver.sent[request] == ["only", "only"]
+
+
+def test_attempt_limit_ends_it() -> None:
+    driver = Driver(replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=2)))
+    request, _ = driver.request()
+    driver.end(request, Outcome.ERROR)
+    driver.wait(301)
+    assert driver.end(request, Outcome.ERROR) == [Fail(request)]
+
+
+def test_empty_budget_skips_the_retry() -> None:
+    driver = Driver()
+    driver.balancer.budget.tokens = 9.5
+    request, _ = driver.request()
+    assert driver.end(request, Outcome.ERROR) == [Fail(request)]
+    assert driver.balancer.budget.tokens == 9.5
+
+
+def test_no_retry_closer_than_the_margin_to_the_deadline() -> None:
+    driver = Driver()
+    request, _ = driver.request(deadline_ms=driver.now_ms + 1000)
+    driver.wait(955)
+    assert driver.end(request, Outcome.ERROR) == [Fail(request)]
+
+
+def test_unsafe_and_unknown_classes_get_one_attempt() -> None:
+    for class_name in ("unsafe", "never heard of"):
+        driver = Driver()
+        request, actions = driver.request(class_name)
+        assert isinstance(actions[0], Send)
+        assert driver.end(request, Outcome.ERROR) == [Fail(request)]
+
+
+def test_gives_up_with_refuse_if_no_attempt_ran() -> None:
+    driver = Driver()
+    request, _ = driver.request("unsafe")
+    assert driver.end(request, Outcome.REJECTED) == [Refuse(request)]
+
+
+def test_expired_on_arrival_is_refused_unsent() -> None:
+    driver = Driver()
+    request, actions = driver.request(deadline_ms=driver.now_ms - 5)
+    assert actions == [Refuse(request)]
+
+
+def test_two_draws_prefer_higher_payoff_over_in_flight() -> None:
+    driver = Driver(endpoints=[endpoint("good"), endpoint("bad")])
+    good = driver.balancer.membership.endpoints["good"]
+    bad = driver.balancer.membership.endpoints["bad"]
+    good.earned, bad.earned = 0.9, 0.3
+    request, _ = driver.request()
+    assert driver.sent[request] == ["good"]  # 0.9 against 0.3
+    good.in_flight = 3
+    request, _ = driver.request()
+    assert driver.sent[request] == ["bad"]  # 0.9 / 4 against 0.3
+
+
+def test_new_server_starts_at_the_others_mean() -> None:
+    driver = Driver(endpoints=[endpoint("s1"), endpoint("s2")])
+    for _ in range(2):
+        request, _ = driver.request()
+        driver.end(request, Outcome.ERROR)
+    driver.tell(delta(endpoint("s3")))
+    membership = driver.balancer.membership
+    assert membership.endpoints["s3"].earned == pytest.approx(membership.earned)
+    assert membership.earned < 0.95
+
+
+def test_no_server_holds_then_refuses_and_a_server_in_time_serves() -> None:
+    driver = Driver(endpoints=[])
+    lost, actions = driver.request()
+    assert actions == []
+    assert driver.wait(2000) == [Refuse(lost)]
+    saved, _ = driver.request()
+    driver.wait(20)
+    assert driver.tell(full(endpoint("s1"))) == [Send(saved, "s1", 480.0)]
+
+
+def test_draining_servers_count_as_none() -> None:
+    driver = Driver(endpoints=[endpoint("s1", state=EndpointState.DRAINING)])
+    request, actions = driver.request()
+    assert actions == [] and driver.wait(2000) == [Refuse(request)]
+
+
+def test_subscribes_at_start_and_again_after_failure() -> None:
+    balancer = Balancer(replace(SETTINGS, subscribe=True), seed=1)
+    assert Subscribe() in balancer.handle(0, [full(endpoint("s1"))])
+    failed = balancer.handle(10, [EndpointsListed(ListKind.FAILED)])
+    timers = [a for a in failed if isinstance(a, SetTimer)]
+    assert len(timers) == 1 and timers[0].delay_ms <= SETTINGS.safety.must_ask_ms / 4
+    assert balancer.handle(10 + timers[0].delay_ms, [TimerFired(timers[0].token)]) == [Subscribe()]
+
+
+def test_same_events_same_actions() -> None:
+    def play() -> list[object]:
+        driver = Driver(seed=42)
+        for i in range(40):
+            request, _ = driver.request()
+            driver.wait(20)
+            if request in driver.sent:
+                driver.end(request, Outcome.ERROR if i % 3 == 0 else Outcome.OK)
+            driver.wait(100)
+        return list(driver.log)
+
+    assert play() == play()
+
+
+def test_news_of_what_is_no_longer_held_is_ignored() -> None:
+    driver = Driver()
+    request, _ = driver.request()
+    driver.end(request, Outcome.OK)
+    assert driver.tell(AttemptEnded(request, 0, Outcome.ERROR, 5)) == []
+    assert driver.tell(AttemptEnded(999, 0, Outcome.OK, 5), RequestGone(999), TimerFired(12345)) == []
+    other, _ = driver.request()
+    assert driver.tell(AttemptEnded(other, 7, Outcome.OK, -3)) == []
+
+
+def test_client_that_left_gets_nothing_more() -> None:
+    driver = Driver()
+    request, _ = driver.request()
+    driver.tell(RequestGone(request))
+    assert driver.end(request, Outcome.ERROR) == []
+    assert driver.wait(5000) == []
+    assert not driver.balancer.requests
+
+
+def test_misuse_raises_value_error_with_the_reason() -> None:
+    driver = Driver()
+    driver.request()
+    with pytest.raises(ValueError, match="arrived twice"):
+        driver.tell(RequestArrived(1, "safe"))
+    driver.now_ms -= 1
+    with pytest.raises(ValueError, match="time ran backwards"):
+        driver.tell()
+    with pytest.raises(ValueError, match="aim_ms and deadline_ms"):
+        replace(SETTINGS, classes=(replace(SAFE, aim_ms=0),))
+    with pytest.raises(ValueError, match="share a name"):
+        replace(SETTINGS, classes=(SAFE, SAFE))
+    with pytest.raises(ValueError, match="proxies"):
+        replace(SETTINGS, proxies=0)
