--- /dev/null
+++ b/cedarcross/proxy/__main__.py
@@ -0,0 +1,67 @@
+"""`python -m cedarcross.proxy`: one client proxy, as the environment configures it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from cedarcross.proxy.config import Config, ConfigError, load
+from cedarcross.proxy.core import Core
+from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.front import Front
+from cedarcross.proxy.upstream import Upstream
+
+log = logging.getLogger(__name__)
+
+# After SIGTERM new connections go on coming for up to 0.4 s.
+STILL_COMING_S = 0.5
+# Then what is taken is finished: each request by its own deadline, 3 s at most.
+LONGEST_S = 3.1
+SPARE_DESCRIPTORS = 64  # for the loop, discovery, logs and connections about to close
+
+
+async def run(config: Config) -> None:
+    settings = config.settings
+    most = max(8, (config.sockets - SPARE_DESCRIPTORS) // 2)
+    directory = Directory()
+    upstream = Upstream(settings.limits, settings.report_fields, settings.safety.drain_grace_ms, most)
+    core = Core(settings, config.seed, directory, upstream)
+    core.discovery = Discovery(config.discovery, settings.subscribe, directory, core.told)
+    if config.known is not None:
+        try:
+            core.told(directory.apply(config.known, restored=True))
+        except ValueError as error:
+            log.warning("the known list is unusable: %s", error)
+    front = Front(core, settings, directory.usable, most)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await front.listen(*config.listen)
+    core.start()
+    core.discovery.start()
+    await stop.wait()
+    await front.end(STILL_COMING_S, LONGEST_S)
+    core.discovery.stop()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"cedarcross.proxy: {error}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(run(config))
+    except OSError as error:
+        print(f"cedarcross.proxy: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cedarcross/proxy/core.py
@@ -0,0 +1,276 @@
+"""Drives one `Balancer`: events in, actions out. The one place that calls `handle`."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from cedarcross.balance import DEFAULT_DEADLINE_MS, Balancer
+from cedarcross.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    EndpointsListed,
+    EndpointState,
+    Event,
+    Fail,
+    ListedEndpoint,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+    TimerFired,
+)
+from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.messages import ClientRequest, HostAnswer, now_ms
+from cedarcross.proxy.upstream import Attempt, Ended, Upstream
+
+log = logging.getLogger(__name__)
+
+# The client stops waiting at its deadline: the balancer is told an earlier one, and if it has not
+# ended the request by then, the proxy does, still before the client's time is out.
+BALANCER_MARGIN_MS = 15.0
+GUARD_MARGIN_MS = 8.0
+
+NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+
+
+class Reply(Protocol):
+    """Where a request's one final answer goes."""
+
+    def serve(self, answer: HostAnswer) -> None: ...
+
+    def refuse(self, retry_after_ms: float) -> None: ...
+
+    def fail(self, status: int) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request that is owed its final answer."""
+
+    id: int
+    request: ClientRequest
+    reply: Reply
+    guard: asyncio.TimerHandle
+    attempts: list[Attempt] = field(default_factory=list)
+    may_have_run: int = 0  # attempts that are out, or may have run
+
+
+class Core:
+    """The balancer and what it has in hand."""
+
+    def __init__(self, settings: Settings, seed: int, directory: Directory, upstream: Upstream) -> None:
+        self._settings = settings
+        self._seed = seed
+        self._directory = directory
+        self._upstream = upstream
+        self._deadlines = {cls.name: cls.deadline_ms for cls in settings.classes}
+        self._held: dict[int, Held] = {}
+        self._last_id = 0
+        self._events: list[Event] = []
+        self._scheduled = False
+        self._life = 0  # of the balancer: timers of an earlier one are void
+        self._balancer = Balancer(settings, seed)
+        self.discovery: Discovery | None = None
+
+    @property
+    def held(self) -> int:
+        return len(self._held)
+
+    # What happens
+
+    def post(self, event: Event) -> None:
+        """Events of one turn of the loop share one call."""
+        self._events.append(event)
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def told(self, event: EndpointsListed) -> None:
+        """News of discovery: the upstream knows of it before the balancer acts on it."""
+        if event.kind in (ListKind.FULL, ListKind.RESTORED):
+            self._upstream.unlisted({entry.name for entry in event.endpoints})
+        for entry in event.endpoints:
+            self._tell_upstream(entry)
+        if event.kind is ListKind.DELTA:
+            self._upstream.unlisted(set(self._directory.entries))
+        self.post(event)
+
+    def _tell_upstream(self, entry: ListedEndpoint) -> None:
+        address = self._directory.addresses.get(entry.name)
+        if address is not None:
+            ready = entry.state is EndpointState.READY
+            self._upstream.listed(entry.name, address, entry.started_ms, ready)
+
+    def take(self, request: ClientRequest, reply: Reply) -> int:
+        """A request has been read. It gets one final answer through `reply`, unless it is `left`."""
+        self._last_id += 1
+        expires_ms = request.expires_in_ms
+        if expires_ms is None:
+            expires_ms = self._deadlines.get(request.class_name, DEFAULT_DEADLINE_MS)
+        deadline_ms = request.read_ms + expires_ms
+        left_ms = deadline_ms - GUARD_MARGIN_MS - now_ms()
+        loop = asyncio.get_running_loop()
+        guard = loop.call_later(max(0.0, left_ms) / 1000.0, self._overdue, self._last_id)
+        self._held[self._last_id] = Held(self._last_id, request, reply, guard)
+        self.post(
+            RequestArrived(
+                request_id=self._last_id,
+                class_name=request.class_name,
+                deadline_ms=deadline_ms - BALANCER_MARGIN_MS,
+                tenant=request.tenant,
+                key=request.key,
+                work_hint_ms=request.hint_ms,
+                repeat=request.repeat,
+            )
+        )
+        return self._last_id
+
+    def left(self, request_id: int) -> None:
+        """The client has gone: nothing more is owed."""
+        held = self._held.get(request_id)
+        if held is not None:
+            self.post(RequestGone(request_id))
+            self._close(held)
+
+    def _overdue(self, request_id: int) -> None:
+        """Whatever the balancer does, the answer goes out before the client's time is over."""
+        held = self._held.get(request_id)
+        if held is not None:
+            self.post(RequestGone(request_id))
+            self._end_without_balancer(held, 504)
+
+    def _end_without_balancer(self, held: Held, status: int) -> None:
+        # A refusal says that trying again is harmless, so only what certainly never ran gets one.
+        if held.may_have_run:
+            held.reply.fail(status)
+        else:
+            held.reply.refuse(0.0)
+        self._close(held)
+
+    def _close(self, held: Held) -> None:
+        """The request is over: nothing more goes out for it."""
+        if self._held.pop(held.id, None) is None:
+            return
+        held.guard.cancel()
+        for attempt in held.attempts:
+            attempt.cancel()
+
+    def _attempt_ended(self, held: Held, number: int, ended: Ended) -> None:
+        if ended.outcome in NEVER_RAN:
+            held.may_have_run -= 1
+        if held.id in self._held and ended.outcome is Outcome.OK and ended.answer is not None:
+            held.reply.serve(ended.answer)
+            self._close(held)
+        self.post(
+            AttemptEnded(
+                request_id=held.id,
+                attempt=number,
+                outcome=ended.outcome,
+                latency_ms=ended.latency_ms,
+                answered=held.id not in self._held,
+                report=ended.report,
+            )
+        )
+
+    # What the balancer wants
+
+    def start(self) -> None:
+        """Let the balancer begin; it asks for discovery in its first call."""
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._scheduled = False
+        events, self._events = self._events, []
+        try:
+            actions = self._balancer.handle(now_ms(), events)
+            for action in actions:
+                self._carry_out(action)
+        except Exception:
+            log.exception("the decisions failed; what is held is answered, and they begin anew")
+            self._begin_anew()
+
+    def _begin_anew(self) -> None:
+        for held in list(self._held.values()):
+            self._end_without_balancer(held, 500)
+        self._life += 1
+        self._balancer = Balancer(self._settings, self._seed + self._life)
+        self._events.clear()  # they are of the old balancer's requests
+        self.post(EndpointsListed(ListKind.RESTORED, tuple(self._directory.entries.values())))
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case SetTimer():
+                self._wait(now_ms() + action.delay_ms, self._life, action.token)
+            case Refuse():
+                held = self._held.get(action.request_id)
+                if held is not None:
+                    held.reply.refuse(action.retry_after_ms)
+                    self._close(held)
+            case Fail():
+                held = self._held.get(action.request_id)
+                if held is not None:
+                    held.reply.fail(502)
+                    self._close(held)
+            case Cancel():
+                held = self._held.get(action.request_id)
+                if held is not None and 0 <= action.attempt < len(held.attempts):
+                    held.attempts[action.attempt].cancel()
+            case CloseIdle():
+                self._upstream.close_idle(action.endpoint)
+            case Subscribe():
+                if self.discovery is not None:
+                    self.discovery.subscribe()
+            case Probe():
+                # Not to be had over these sockets yet; the balancer asks only where settings allow it.
+                self.post(ProbeEnded(action.endpoint, Outcome.NOT_SENT, 0.0))
+            case Log():
+                log.info("%s", action.text)
+
+    def _send(self, action: Send) -> None:
+        held = self._held.get(action.request_id)
+        if held is None:
+            log.error("a send for request %d, which is not held", action.request_id)
+            return
+        number = len(held.attempts)
+        held.may_have_run += 1
+        attempt = self._upstream.start(
+            held.request,
+            action.endpoint,
+            max(0.0, action.timeout_ms),
+            lambda ended: self._attempt_ended(held, number, ended),
+        )
+        if attempt is None:
+            held.may_have_run -= 1
+            self.post(AttemptEnded(held.id, number, Outcome.NOT_SENT, 0.0))
+        else:
+            held.attempts.append(attempt)
+
+    def _wait(self, due_ms: float, life: int, token: int) -> None:
+        left_ms = max(0.0, due_ms - now_ms())
+        asyncio.get_running_loop().call_later(left_ms / 1000.0, self._due, due_ms, life, token)
+
+    def _due(self, due_ms: float, life: int, token: int) -> None:
+        if life != self._life:
+            return
+        if now_ms() < due_ms:
+            # The loop's clock is coarser than ours: a timer must not fire before its time.
+            asyncio.get_running_loop().call_later(0.001, self._due, due_ms, life, token)
+        else:
+            self.post(TimerFired(token))
--- /dev/null
+++ b/cedarcross/proxy/discovery.py
@@ -0,0 +1,219 @@
+"""Follows discovery: the list of hosts, its changes, and when a call or the watch has failed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+
+from cedarcross.interface import EndpointsListed, EndpointState, ListedEndpoint, ListKind
+from cedarcross.proxy.config import Address, read_address
+from cedarcross.proxy.messages import now_ms
+
+Json = dict[str, Any]
+log = logging.getLogger(__name__)
+
+# A call waits its turn at discovery; longer than this, nothing is coming (a cut-off one says nothing).
+ANSWER_S = 5.0
+# An unchanged watch sends an empty line every 2 s. A connection silent for longer is dead, and says so
+# in no other way.
+SILENCE_S = 3.5
+MAX_LINE = 4 * 1024 * 1024
+RETRY_S = 0.5  # where lists are pushed nobody else asks again
+
+
+class Directory:
+    """The list in the balancer's terms, and where each host listens."""
+
+    def __init__(self) -> None:
+        # Fixed once: the balancer takes another start time for a restart of the host.
+        self._unix_offset_ms = time.time() * 1000.0 - now_ms()
+        self.entries: dict[str, ListedEndpoint] = {}
+        self.addresses: dict[str, Address] = {}
+        self.index: int | None = None
+
+    def usable(self) -> bool:
+        return any(entry.state is EndpointState.READY for entry in self.entries.values())
+
+    def apply(self, message: Json, restored: bool = False) -> EndpointsListed:
+        """Take in one message whole, or raise ValueError and take in nothing of it."""
+        try:
+            entries = [(self._entry(e), read_address(str(e["address"]))) for e in message["endpoints"]]
+            full = bool(message.get("snapshot"))
+            index = int(message["index"])
+        except (KeyError, TypeError, AttributeError, ValueError) as error:
+            raise ValueError(f"not a list of endpoints: {error!r}") from None
+        if full:
+            self.entries.clear()
+            self.addresses.clear()
+        for entry, address in entries:
+            if entry.state is EndpointState.GONE:
+                self.entries.pop(entry.name, None)
+                self.addresses.pop(entry.name, None)
+            else:
+                self.entries[entry.name] = entry
+                self.addresses[entry.name] = address
+        self.index = index
+        kind = ListKind.RESTORED if restored else ListKind.FULL if full else ListKind.DELTA
+        return EndpointsListed(kind, tuple(entry for entry, _ in entries))
+
+    def _entry(self, raw: Json) -> ListedEndpoint:
+        since_ms = float(raw.get("since_ms") or 0)
+        return ListedEndpoint(
+            name=str(raw["name"]),
+            zone=str(raw.get("zone", "")),
+            cell=int(raw.get("group", 0)),
+            weight=float(raw.get("weight", 1.0)),
+            state=EndpointState(raw.get("status", "ready")),
+            started_ms=since_ms - self._unix_offset_ms if since_ms else None,
+        )
+
+
+class Watch(asyncio.Protocol):
+    """One call to discovery, from its dial to its end. It ends once, by calling `ended`."""
+
+    def __init__(self, on_line: Callable[[bytes], None], ended: Callable[[str], None]) -> None:
+        self._on_line = on_line
+        self._ended: Callable[[str], None] | None = ended
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._line = bytearray()
+        self._alarm: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def open(self, address: Address, index: int | None) -> None:
+        self._arm(ANSWER_S)
+        self._task = asyncio.get_running_loop().create_task(self._dial(address, index))
+
+    async def _dial(self, address: Address, index: int | None) -> None:
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: self, *address)
+        except OSError as error:
+            self.close(f"no connection: {error}")
+            return
+        if self._transport is not None and self._ended is not None:
+            since = "" if index is None else f"&since={index}"
+            host = f"{address[0]}:{address[1]}"
+            self._transport.write(
+                f"GET /v1/endpoints?follow=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+            )
+
+    def close(self, why: str | None = None) -> None:
+        """End it; with a reason, tell of it."""
+        ended, self._ended = self._ended, None
+        if self._alarm is not None:
+            self._alarm.cancel()
+        if self._task is not None and not self._task.done():
+            self._task.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+        if ended is not None and why is not None:
+            ended(why)
+
+    def _arm(self, seconds: float) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._alarm = asyncio.get_running_loop().call_later(seconds, self.close, "silence")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # A cast, not a check: the transports of uvloop do not derive from asyncio.Transport.
+        self._transport = cast(asyncio.Transport, transport)
+        if self._ended is None:
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.close(f"connection ended: {exc or 'EOF'}")
+
+    def data_received(self, data: bytes) -> None:
+        if self._ended is None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.close(f"not HTTP: {error}")
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status != 200:
+            self.close(f"answered {status}")
+
+    def on_body(self, body: bytes) -> None:
+        if self._ended is None:
+            return
+        self._arm(SILENCE_S)
+        self._line += body
+        # Chunks do not end on lines: what follows the last newline waits for the rest.
+        *lines, rest = self._line.split(b"\n")
+        self._line = bytearray(rest)
+        if len(rest) > MAX_LINE:
+            self.close("line too long")
+            return
+        for line in lines:
+            if self._ended is not None:
+                self._on_line(bytes(line).strip())
+
+    def on_message_complete(self) -> None:
+        self.close("watch ended")
+
+
+class Discovery:
+    """Carries out the balancer's calls, and tells it what is listed."""
+
+    def __init__(
+        self, address: Address, asked: bool, directory: Directory, told: Callable[[EndpointsListed], None]
+    ) -> None:
+        self._address = address
+        self._asked = asked  # the balancer says when to call; else lists are pushed, and we follow them
+        self._directory = directory
+        self._told = told
+        self._watch: Watch | None = None
+        self._answered = False
+
+    def start(self) -> None:
+        if not self._asked:
+            self.subscribe()
+
+    def subscribe(self) -> None:
+        self.stop()
+        self._answered = False
+        self._watch = Watch(self._on_line, self._failed)
+        self._watch.open(self._address, self._directory.index)
+
+    def stop(self) -> None:
+        if self._watch is not None:
+            self._watch.close()
+            self._watch = None
+
+    def _on_line(self, line: bytes) -> None:
+        if not line:
+            if not self._answered:
+                # Nothing changed since: that is this call's answer.
+                self._answered = True
+                self._told(EndpointsListed(ListKind.DELTA))
+            return
+        try:
+            message = json.loads(line)
+            if not isinstance(message, dict):
+                raise ValueError("not an object")
+            event = self._directory.apply(message)
+        except ValueError as error:
+            # After a gap deltas no longer fit: ask for the whole list.
+            self._directory.index = None
+            if self._watch is not None:
+                self._watch.close(f"unreadable line: {error}")
+            return
+        self._answered = True
+        self._told(event)
+
+    def _failed(self, why: str) -> None:
+        log.warning("discovery: %s", why)
+        self._watch = None
+        if self._asked:
+            self._told(EndpointsListed(ListKind.FAILED))
+        else:
+            asyncio.get_running_loop().call_later(RETRY_S, self.subscribe)
--- /dev/null
+++ b/cedarcross/proxy/messages.py
@@ -0,0 +1,77 @@
+"""What the parts of the proxy hand each other: requests, answers, the clock."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+MAX_BODY = 64 * 1024
+
+# Headers that belong to one connection, or that the proxy words itself (RFC 9110, 7.6.1).
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def now_ms() -> float:
+    """The one clock: monotonic, and finer than the event loop's own."""
+    return time.monotonic() * 1000.0
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """The headers that may be passed on, without those that `Connection` names."""
+    dropped = set(HOP_BY_HOP)
+    for name, value in headers:
+        if name.lower() == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+@dataclass(slots=True, eq=False)
+class ClientRequest:
+    """A whole request, as the application sent it."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    read_ms: float  # when its last byte was read
+    class_name: str
+    expires_in_ms: float | None = None
+    tenant: str | None = None
+    key: str | None = None
+    hint_ms: float | None = None
+    repeat: bool = False
+    head: bytes = field(default=b"")  # what goes to a host, up to the time that is left
+
+    def to_wire(self, left_ms: float) -> bytes:
+        """The request as a host gets it."""
+        if not self.head:
+            lines = [self.method + b" " + self.target + b" HTTP/1.1"]
+            lines += [name + b": " + value for name, value in end_to_end(self.headers)]
+            if self.body or self.method != b"GET":
+                lines.append(b"Content-Length: %d" % len(self.body))
+            self.head = b"\r\n".join(lines)
+        return b"%b\r\nX-Expires-In-Ms: %d\r\n\r\n%b" % (self.head, max(1, int(left_ms)), self.body)
+
+
+@dataclass(slots=True, eq=False)
+class HostAnswer:
+    """A whole answer of a host."""
+
+    status: int
+    headers: Headers
+    body: bytes
--- /dev/null
+++ b/cedarcross/proxy/upstream.py
@@ -0,0 +1,418 @@
+"""The hosts' side: connections, the idle pool, attempts and how they end. It repeats nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+import httptools
+
+from cedarcross.interface import Limits, Outcome
+from cedarcross.proxy.config import Address
+from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer, now_ms
+
+log = logging.getLogger(__name__)
+
+MAX_HEADERS = 32 * 1024
+SWEEP_S = 1.0
+# Hosts close an idle connection at the stated time at the latest, and a request that crosses that is
+# reset: ours are retired this part of it earlier.
+IDLE_PART = 0.9
+TOLD_MARGIN_MS = 100.0  # a change counts as told when it was written to us, not when we read it
+
+NEVER_RAN = b"1"
+REPORT_VALUE = re.compile(rb"([A-Za-z0-9_]+)=([-+0-9.eE]+)")
+
+
+@dataclass(slots=True, eq=False)
+class HostEntry:
+    """A host at one address, in one life. Another address or start time is another entry."""
+
+    name: str
+    address: Address
+    started_ms: float | None
+    idle: list[HostConnection] = field(default_factory=list)  # the latest used last
+    closed_ms: float | None = None  # told draining or gone then
+    replaced: bool = False  # restarted, or moved: its old connections are dead
+
+
+@dataclass(slots=True, eq=False)
+class Ended:
+    """How an attempt ended."""
+
+    outcome: Outcome
+    latency_ms: float
+    report: tuple[float, ...] | None = None
+    answer: HostAnswer | None = None
+
+
+class Attempt:
+    """One try of a request at one host. It ends exactly once, and tells of it."""
+
+    __slots__ = ("_done", "_timer", "connection", "dial", "entry", "handed_over", "sent_ms", "wire")
+
+    def __init__(
+        self, entry: HostEntry, wire: bytes, timeout_ms: float, done: Callable[[Ended], None]
+    ) -> None:
+        self.entry = entry
+        self.wire = wire
+        self.sent_ms = now_ms()
+        self.handed_over = False  # some of it may have reached the host
+        self.connection: HostConnection | None = None
+        self.dial: asyncio.Task[None] | None = None
+        self._done: Callable[[Ended], None] | None = done
+        self._timer = asyncio.get_running_loop().call_later(timeout_ms / 1000.0, self._timed_out)
+
+    @property
+    def over(self) -> bool:
+        return self._done is None
+
+    def _timed_out(self) -> None:
+        # What never went out can't have run, however long it waited for its connection.
+        self.end(Outcome.TIMEOUT if self.handed_over else Outcome.CONNECT_FAILED)
+
+    def cancel(self) -> None:
+        self.end(Outcome.CANCELLED)
+
+    def end(
+        self, outcome: Outcome, report: tuple[float, ...] | None = None, answer: HostAnswer | None = None
+    ) -> None:
+        done, self._done = self._done, None
+        if done is None:
+            return
+        self._timer.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None and connection.attempt is self:
+            # An answer is still to come on it: closing is how an attempt is given up.
+            connection.attempt = None
+            connection.abort()
+        if self.dial is not None and not self.dial.done():
+            self.dial.cancel()
+        done(Ended(outcome, now_ms() - self.sent_ms, report, answer))
+
+
+class HostConnection(asyncio.Protocol):
+    """A connection to a host: one request at a time, idle in between."""
+
+    def __init__(self, pool: Upstream, entry: HostEntry, sock: socket.socket) -> None:
+        self._pool = pool
+        self.entry = entry
+        self._sock = sock
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self.attempt: Attempt | None = None
+        self.idle_since_ms = 0.0
+        self.lost = False
+        self._reset_answer()
+
+    def _reset_answer(self) -> None:
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._complete = False
+
+    # The pool's side
+
+    def send(self, attempt: Attempt) -> None:
+        """Hand the request over. Written past the transport's buffer, so that what is certain is known:
+        where the system takes none of it, the host can't have it."""
+        self.attempt = attempt
+        attempt.connection = self
+        self._reset_answer()
+        try:
+            sent = self._sock.send(attempt.wire)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError:
+            attempt.end(Outcome.CONNECT_FAILED)
+            self.abort()
+            return
+        attempt.handed_over = True
+        if sent < len(attempt.wire) and self._transport is not None:
+            self._transport.write(attempt.wire[sent:])
+
+    def quiet(self) -> bool:
+        """No end of stream, reset or stray byte is waiting to be read."""
+        if self.lost:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    def abort(self) -> None:
+        self.lost = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    # The transport's side
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # A cast, not a check: the transports of uvloop do not derive from asyncio.Transport.
+        self._transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        self._pool.forget(self)
+        attempt = self.attempt
+        if attempt is not None:
+            attempt.end(Outcome.RESET if attempt.handed_over else Outcome.CONNECT_FAILED)
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            self.abort()  # nothing was asked: whatever comes would be taken for the next answer
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._broken()
+        if self.attempt is not None and self._complete:
+            self._answered(self.attempt)
+
+    def _broken(self) -> None:
+        """A malformed answer: it may have run, and is never served."""
+        self._complete = False
+        if self.attempt is not None:
+            self.attempt.end(Outcome.RESET)
+        self.abort()
+
+    def _answered(self, attempt: Attempt) -> None:
+        status = self._parser.get_status_code()
+        answer = HostAnswer(status, self._headers, b"".join(self._body))
+        report, never_ran = self._pool.read_headers(self._headers)
+        if status == 200:
+            outcome = Outcome.OK
+        elif status in (503, 504) and never_ran:
+            outcome = Outcome.REJECTED
+        else:
+            outcome = Outcome.ERROR
+        self.attempt = attempt.connection = None
+        if self._parser.should_keep_alive() and not self.lost:
+            self._pool.put_back(self)
+        else:
+            self.abort()
+        attempt.end(outcome, report, answer)
+
+    # The parser's side
+
+    def on_message_begin(self) -> None:
+        if self._complete:  # a second answer to one request
+            raise ValueError("more than one answer")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._size += len(name) + len(value)
+        if self._size > MAX_HEADERS:
+            raise ValueError("headers too large")
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self._size = 0
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > MAX_BODY:
+            raise ValueError("body too large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._parser.get_status_code() < 200:
+            self._reset_answer()  # an interim answer
+        else:
+            self._complete = True
+
+
+class Upstream:
+    """All hosts and the connections to them."""
+
+    def __init__(
+        self, limits: Limits, report_fields: tuple[str, ...], drain_grace_ms: float, most: int
+    ) -> None:
+        self._connect_timeout_s = limits.connect_timeout_ms / 1000.0
+        idle_ms = limits.conn_idle_ms
+        self._idle_ms = IDLE_PART * idle_ms if idle_ms is not None else float("inf")
+        self._fields = [name.encode() for name in report_fields]
+        self._drain_grace_ms = drain_grace_ms
+        self._most = most  # descriptors, dials under way included
+        self._open = 0
+        self._entries: dict[str, HostEntry] = {}
+        self._sweep: asyncio.TimerHandle | None = None
+
+    # The list of hosts
+
+    def listed(self, name: str, address: Address, started_ms: float | None, ready: bool) -> None:
+        entry = self._entries.get(name)
+        if entry is None or entry.address != address or entry.started_ms != started_ms:
+            if entry is not None:
+                entry.replaced = True
+                self._close(entry)
+            entry = self._entries[name] = HostEntry(name, address, started_ms)
+        if ready:
+            entry.closed_ms = None
+        else:
+            self._close(entry)
+
+    def unlisted(self, keep: set[str]) -> None:
+        """Whatever is not in `keep` is gone."""
+        for name in [name for name in self._entries if name not in keep]:
+            self._close(self._entries.pop(name))
+
+    def _close(self, entry: HostEntry) -> None:
+        if entry.closed_ms is None:
+            entry.closed_ms = now_ms()
+        self.close_idle_of(entry)
+
+    def close_idle(self, name: str) -> None:
+        entry = self._entries.get(name)
+        if entry is not None:
+            self.close_idle_of(entry)
+
+    @staticmethod
+    def close_idle_of(entry: HostEntry) -> None:
+        idle, entry.idle = entry.idle, []
+        for connection in idle:
+            connection.abort()
+
+    # Attempts
+
+    def start(
+        self,
+        request: ClientRequest,
+        name: str,
+        timeout_ms: float,
+        done: Callable[[Ended], None],
+    ) -> Attempt | None:
+        """Begin an attempt; None if there is no such host."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return None
+        attempt = Attempt(entry, request.to_wire(timeout_ms), timeout_ms, done)
+        connection = self._take_idle(entry)
+        if connection is not None:
+            connection.send(attempt)
+        else:
+            attempt.dial = asyncio.get_running_loop().create_task(self._dial(attempt))
+        return attempt
+
+    def _take_idle(self, entry: HostEntry) -> HostConnection | None:
+        oldest_ms = now_ms() - self._idle_ms
+        while entry.idle:
+            connection = entry.idle.pop()
+            if connection.idle_since_ms > oldest_ms and connection.quiet():
+                return connection
+            connection.abort()
+        return None
+
+    async def _dial(self, attempt: Attempt) -> None:
+        """Connect, and hand the request over if its attempt still stands."""
+        entry = attempt.entry
+        loop = asyncio.get_running_loop()
+        if self._open >= self._most:
+            self._close_longest_idle()
+        if self._open >= self._most:
+            attempt.end(Outcome.CONNECT_FAILED)
+            return
+        self._open += 1
+        connection: HostConnection | None = None
+        sock: socket.socket | None = None
+        try:
+            family = socket.AF_INET6 if ":" in entry.address[0] else socket.AF_INET
+            sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(self._connect_timeout_s):
+                await loop.sock_connect(sock, entry.address)
+            made = HostConnection(self, entry, sock)
+            await loop.create_connection(lambda: made, sock=sock)
+            connection = made
+        except (OSError, TimeoutError):
+            attempt.end(Outcome.CONNECT_FAILED)
+        finally:
+            if connection is None:  # failed, or called off: the descriptor must not stay behind
+                self._open -= 1
+                if sock is not None:
+                    sock.close()
+        if connection is None:
+            return
+        if attempt.over or connection.lost:
+            attempt.end(Outcome.CONNECT_FAILED)
+            connection.abort()
+        elif self._too_late(entry):
+            attempt.end(Outcome.NOT_SENT)
+            connection.abort()
+        else:
+            connection.send(attempt)
+
+    def _too_late(self, entry: HostEntry) -> bool:
+        """Told draining or gone while the dial was under way: a start now may be past the grace."""
+        if entry.replaced:
+            return True
+        closed_ms = entry.closed_ms
+        return closed_ms is not None and now_ms() > closed_ms + self._drain_grace_ms - TOLD_MARGIN_MS
+
+    # The pool
+
+    def put_back(self, connection: HostConnection) -> None:
+        entry = connection.entry
+        if entry.closed_ms is not None or entry.replaced:
+            connection.abort()
+            return
+        connection.idle_since_ms = now_ms()
+        entry.idle.append(connection)
+        if self._sweep is None:
+            self._sweep = asyncio.get_running_loop().call_later(SWEEP_S, self._retire)
+
+    def forget(self, connection: HostConnection) -> None:
+        """Its descriptor is free again."""
+        self._open -= 1
+        if connection in connection.entry.idle:
+            connection.entry.idle.remove(connection)
+
+    def _retire(self) -> None:
+        self._sweep = None
+        oldest_ms = now_ms() - self._idle_ms
+        left = False
+        for entry in self._entries.values():
+            old = [c for c in entry.idle if c.idle_since_ms <= oldest_ms]
+            entry.idle = [c for c in entry.idle if c.idle_since_ms > oldest_ms]
+            left = left or bool(entry.idle)
+            for connection in old:
+                connection.abort()
+        if left:
+            self._sweep = asyncio.get_running_loop().call_later(SWEEP_S, self._retire)
+
+    def _close_longest_idle(self) -> None:
+        idle = [c for entry in self._entries.values() for c in entry.idle]
+        if idle:
+            longest = min(idle, key=lambda c: c.idle_since_ms)
+            longest.entry.idle.remove(longest)
+            longest.abort()
+
+    # Headers
+
+    def read_headers(self, headers: Headers) -> tuple[tuple[float, ...] | None, bool]:
+        """The load report, if a whole one came, and whether the host says it never ran the request."""
+        report: tuple[float, ...] | None = None
+        never_ran = False
+        for name, value in headers:
+            lowered = name.lower()
+            if lowered == b"endpoint-load-metrics":
+                report = self._read_report(value)
+            elif lowered == b"x-never-ran":
+                never_ran = value.strip() == NEVER_RAN
+        return report, never_ran
+
+    def _read_report(self, value: bytes) -> tuple[float, ...] | None:
+        if not self._fields:
+            return None
+        told = dict(REPORT_VALUE.findall(value))
+        try:
+            return tuple(float(told[name]) for name in self._fields)
+        except (KeyError, ValueError):
+            return None
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,8 +12,9 @@
 import pytest
 
 from cedarcross import balance
-from cedarcross.adapter import read_settings, serve
+from cedarcross.adapter import serve
 from cedarcross.interface import AttemptLimit, Limits, Objective, Prices, Reports, Tenant
+from cedarcross.settings import read_settings
 
 Json = dict[str, Any]
 
