Reuse idle connections: ask the parser for keep-alive while it still knows

Cause: upstream._answered asked should_keep_alive() after feed_data had returned; a probe of httptools says True inside on_message_complete and False after it, for the same answer. Asked inside now. Ruled out: the quiet() peek and the idle limit, which no connection ever reached; Connection: close of the hosts, which they did not send.

--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -115,6 +115,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._complete = False
+        self._keep = False
 
     # The pool's side
 
@@ -195,7 +196,7 @@
         else:
             outcome = Outcome.ERROR
         self.attempt = attempt.connection = None
-        if self._parser.should_keep_alive() and not self.lost:
+        if self._keep and not self.lost:
             self._pool.put_back(self)
         else:
             self.abort()
@@ -227,6 +228,8 @@
             self._reset_answer()  # an interim answer
         else:
             self._complete = True
+            # Asked in this call: once it returns, the parser has forgotten, and says no to every answer.
+            self._keep = self._parser.should_keep_alive()
 
 
 class Upstream:
@@ -241,19 +244,19 @@
         self._fields = [name.encode() for name in report_fields]
         self._drain_grace_ms = drain_grace_ms
         self._most = most  # descriptors, dials under way included
-        self._open = 0
-        self._entries: dict[str, HostEntry] = {}
+        self.open = 0
+        self.entries: dict[str, HostEntry] = {}
         self._sweep: asyncio.TimerHandle | None = None
 
     # The list of hosts
 
     def listed(self, name: str, address: Address, started_ms: float | None, ready: bool) -> None:
-        entry = self._entries.get(name)
+        entry = self.entries.get(name)
         if entry is None or entry.address != address or entry.started_ms != started_ms:
             if entry is not None:
                 entry.replaced = True
                 self._close(entry)
-            entry = self._entries[name] = HostEntry(name, address, started_ms)
+            entry = self.entries[name] = HostEntry(name, address, started_ms)
         if ready:
             entry.closed_ms = None
         else:
@@ -261,8 +264,8 @@
 
     def unlisted(self, keep: set[str]) -> None:
         """Whatever is not in `keep` is gone."""
-        for name in [name for name in self._entries if name not in keep]:
-            self._close(self._entries.pop(name))
+        for name in [name for name in self.entries if name not in keep]:
+            self._close(self.entries.pop(name))
 
     def _close(self, entry: HostEntry) -> None:
         if entry.closed_ms is None:
@@ -270,7 +273,7 @@
         self.close_idle_of(entry)
 
     def close_idle(self, name: str) -> None:
-        entry = self._entries.get(name)
+        entry = self.entries.get(name)
         if entry is not None:
             self.close_idle_of(entry)
 
@@ -290,7 +293,7 @@
         done: Callable[[Ended], None],
     ) -> Attempt | None:
         """Begin an attempt; None if there is no such host."""
-        entry = self._entries.get(name)
+        entry = self.entries.get(name)
         if entry is None:
             return None
         attempt = Attempt(entry, request.to_wire(timeout_ms), timeout_ms, done)
@@ -314,12 +317,12 @@
         """Connect, and hand the request over if its attempt still stands."""
         entry = attempt.entry
         loop = asyncio.get_running_loop()
-        if self._open >= self._most:
+        if self.open >= self._most:
             self._close_longest_idle()
-        if self._open >= self._most:
+        if self.open >= self._most:
             attempt.end(Outcome.CONNECT_FAILED)
             return
-        self._open += 1
+        self.open += 1
         connection: HostConnection | None = None
         sock: socket.socket | None = None
         try:
@@ -335,7 +338,7 @@
             attempt.end(Outcome.CONNECT_FAILED)
         finally:
             if connection is None:  # failed, or called off: the descriptor must not stay behind
-                self._open -= 1
+                self.open -= 1
                 if sock is not None:
                     sock.close()
         if connection is None:
@@ -370,7 +373,7 @@
 
     def forget(self, connection: HostConnection) -> None:
         """Its descriptor is free again."""
-        self._open -= 1
+        self.open -= 1
         if connection in connection.entry.idle:
             connection.entry.idle.remove(connection)
 
@@ -378,7 +381,7 @@
         self._sweep = None
         oldest_ms = now_ms() - self._idle_ms
         left = False
-        for entry in self._entries.values():
+        for entry in self.entries.values():
             old = [c for c in entry.idle if c.idle_since_ms <= oldest_ms]
             entry.idle = [c for c in entry.idle if c.idle_since_ms > oldest_ms]
             left = left or bool(entry.idle)
@@ -388,7 +391,7 @@
             self._sweep = asyncio.get_running_loop().call_later(SWEEP_S, self._retire)
 
     def _close_longest_idle(self) -> None:
-        idle = [c for entry in self._entries.values() for c in entry.idle]
+        idle = [c for entry in self.entries.values() for c in entry.idle]
         if idle:
             longest = min(idle, key=lambda c: c.idle_since_ms)
             longest.entry.idle.remove(longest)
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,295 @@
+"""What the socket tests share: scripted hosts, a scripted discovery, a client, and a proxy between them.
+
+All on 127.0.0.1 with ports that the system picks. Nothing here waits for a time to pass: it waits for
+events, with a limit generous enough never to decide a verdict.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import uvloop
+
+from cedarcross.interface import Settings
+from cedarcross.proxy.core import Core
+from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.front import Front
+from cedarcross.proxy.upstream import Upstream
+from cedarcross.settings import read_settings
+
+Json = dict[str, Any]
+LIMIT_S = 20.0
+KEYED_CLASS, UNSAFE_CLASS = "extract-issue", "entry-register"
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    """Run a test on the proxy's own kind of loop."""
+
+    async def limited() -> None:
+        async with asyncio.timeout(LIMIT_S):
+            await test
+
+    uvloop.run(limited())
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Let the loop turn until it holds."""
+    async with asyncio.timeout(LIMIT_S):
+        while not holds():
+            await asyncio.sleep(0.002)
+
+
+def facts(**bounds: Any) -> Json:
+    """Settings in the configuration's form."""
+    return {
+        "balancers": 1,
+        "bounds": {
+            "max_attempts": 3,
+            "connect_timeout_ms": 250.0,
+            "conn_idle_ms": 60000.0,
+            "parallel_tries": True,
+            "cancel": True,
+            **bounds,
+        },
+        "categories": [
+            {
+                "name": KEYED_CLASS,
+                "aim_ms": 4000.0,
+                "deadline_ms": 8000.0,
+                "effect": "dedup",
+                "group": "cell",
+                "window_ms": 8000.0,
+                "worth": 3.0,
+            },
+            {
+                "name": UNSAFE_CLASS,
+                "aim_ms": 4000.0,
+                "deadline_ms": 8000.0,
+                "effect": "fragile",
+                "worth": 10.0,
+            },
+        ],
+        "discovery": "subscribe",
+        "reporting": {"how": "inline", "fields": ["inflight", "queue", "latency_ms"]},
+        "safety": {
+            "cold_ms": 1.0,
+            "cold_share": 1.0,
+            "fall_ms": 2000.0,
+            "fall_multiple": 3.0,
+            "drain_grace_ms": 1000.0,
+            "must_ask_in_ms": 10000.0,
+        },
+    }
+
+
+Answer = Callable[["Host", "Got", asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class Got:
+    """A request as it came in."""
+
+    connection: int
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+def http(status: int, body: bytes = b"", **headers: str) -> bytes:
+    named = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 {status} X\r\n{named}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def served(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+    writer.write(http(200, b"from " + host.name.encode()))
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """Start line, headers by lower-case name, body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {
+        name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)
+    }
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return head[0], headers, body
+
+
+@dataclass
+class Host:
+    """A record server that does as its script says; it counts what comes."""
+
+    name: str
+    answer: Answer = served
+    got: list[Got] = field(default_factory=list)
+    connections: int = 0
+    open: int = 0
+    port: int = 0
+    server: asyncio.Server | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+
+    async def start(self) -> Host:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number = self.connections
+        self.connections += 1
+        self.open += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                got = Got(number, *await read_message(reader))
+                self.got.append(got)
+                await self.answer(self, got, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+@dataclass
+class Registry:
+    """A discovery whose watches say what the test writes."""
+
+    calls: list[str] = field(default_factory=list)
+    watches: list[asyncio.StreamWriter] = field(default_factory=list)
+    port: int = 0
+    index: int = 1
+    server: asyncio.Server | None = None
+
+    async def start(self) -> Registry:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            line, _, _ = await read_message(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        self.calls.append(line)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watches.append(writer)
+
+    def say(self, data: bytes) -> None:
+        """One chunk on the newest watch."""
+        self.watches[-1].write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def change(self, *entries: Json, full: bool = False) -> bytes:
+        self.index += 1
+        message = {"index": self.index, "snapshot": full, "endpoints": list(entries)}
+        return json.dumps(message).encode() + b"\n"
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in self.watches:
+            writer.transport.abort()
+
+
+def entry(host: Host, status: str = "ready", since_ms: int = 0, group: int = 1) -> Json:
+    return {
+        "name": host.name,
+        "address": f"127.0.0.1:{host.port}",
+        "zone": "a",
+        "type": "m",
+        "group": group,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": since_ms,
+    }
+
+
+@dataclass
+class Proxy:
+    """The proxy's parts, wired as `__main__` wires them."""
+
+    core: Core
+    front: Front
+    upstream: Upstream
+    directory: Directory
+    discovery: Discovery
+    registry: Registry
+    settings: Settings
+    port: int
+
+
+@asynccontextmanager
+async def proxy(*hosts: Host, most: int = 100, settings: Json | None = None) -> AsyncIterator[Proxy]:
+    """A proxy in front of these hosts, ready; all is stopped at the end."""
+    registry = await Registry().start()
+    for host in hosts:
+        if host.server is None:
+            await host.start()
+    read = read_settings(settings or facts())
+    directory = Directory()
+    upstream = Upstream(read.limits, read.report_fields, read.safety.drain_grace_ms, most)
+    core = Core(read, 7, directory, upstream)
+    discovery = Discovery(("127.0.0.1", registry.port), True, directory, core.told)
+    core.discovery = discovery
+    front = Front(core, read, directory.usable, most)
+    port = await front.listen("127.0.0.1", 0)
+    core.start()
+    await until(lambda: bool(registry.watches))
+    registry.say(registry.change(*[entry(host) for host in hosts], full=True))
+    await until(lambda: len(directory.entries) == len(hosts))
+    try:
+        yield Proxy(core, front, upstream, directory, discovery, registry, read, port)
+    finally:
+        discovery.stop()
+        await front.end(0.0, 1.0)
+        for host in hosts:
+            host.stop()
+        registry.stop()
+
+
+class Client:
+    """The application: one connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def connect(cls, port: int) -> Client:
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def send(
+        self,
+        cls: str = UNSAFE_CLASS,
+        body: bytes = b"form",
+        expires_ms: int = 5000,
+        key: str = "k",
+        **headers: str,
+    ) -> None:
+        named = {"X-Trace-Id": f"{time.monotonic_ns():016x}", "X-Expires-In-Ms": str(expires_ms)}
+        if cls == KEYED_CLASS:
+            named["Idempotency-Key"] = key
+        named |= {name.replace("_", "-"): value for name, value in headers.items()}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in named.items())
+        head = f"POST /{cls}/7f3a HTTP/1.1\r\nHost: app.svc\r\n{lines}Content-Length: {len(body)}\r\n\r\n"
+        self.writer.write(head.encode() + body)
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        line, headers, body = await read_message(self.reader)
+        return int(line.split()[1]), headers, body
+
+    async def ask(self, cls: str = UNSAFE_CLASS, **kwargs: Any) -> tuple[int, dict[str, str], bytes]:
+        self.send(cls, **kwargs)
+        return await self.answer()
+
+    def close(self) -> None:
+        self.writer.transport.abort()
