--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -100,7 +100,7 @@
         self._waiting: deque[tuple[ClientRequest | None, BadRequest | None]] = deque()
         self._busy = False  # the request whose turn it is has no final answer yet
         self._current: int | None = None  # its id at the core
-        self._writable = True
+        self.writable = True
         self._closing = False  # no request is taken any more
         self._head_bytes = 0
         self._in_head = True
@@ -158,10 +158,10 @@
 
     def pause_writing(self) -> None:
         # A reader this slow gets no further answers, so none pile up.
-        self._writable = False
+        self.writable = False
 
     def resume_writing(self) -> None:
-        self._writable = True
+        self.writable = True
         self._next()
         self._hold_back()
 
@@ -169,7 +169,7 @@
         """Requests ahead of their turn are not read on and on."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._waiting or not self._writable:
+        if self._waiting or not self.writable:
             self._transport.pause_reading()
         elif not self._transport.is_reading():
             self._transport.resume_reading()
@@ -225,7 +225,7 @@
 
     def _next(self) -> None:
         """Take up the next request, once the one before has its answer and that is under way."""
-        while self._waiting and not self._busy and self._writable:
+        while self._waiting and not self._busy and self.writable:
             request, error = self._waiting.popleft()
             self._busy = True
             if error is not None:
@@ -284,7 +284,7 @@
         self.ready = ready
         self.ending = False
         self._most = most
-        self._connections: set[ClientConnection] = set()
+        self.connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
         self._empty = asyncio.Event()
         self._empty.set()
@@ -297,17 +297,17 @@
         return listening
 
     def opened(self, connection: ClientConnection) -> None:
-        self._connections.add(connection)
+        self.connections.add(connection)
         self._empty.clear()
-        if len(self._connections) > self._most:
+        if len(self.connections) > self._most:
             # Descriptors run short: a connection between requests may be closed at any time.
-            idle = [c for c in self._connections if c.idle and c is not connection]
+            idle = [c for c in self.connections if c.idle and c is not connection]
             if idle:
                 min(idle, key=lambda c: c.idle_since_ms).close_idle()
 
     def closed(self, connection: ClientConnection) -> None:
-        self._connections.discard(connection)
-        if not self._connections:
+        self.connections.discard(connection)
+        if not self.connections:
             self._empty.set()
 
     async def end(self, coming_s: float, longest_s: float) -> None:
@@ -316,10 +316,10 @@
         self.ending = True
         if self._server is not None:
             self._server.close()
-        for connection in list(self._connections):
+        for connection in list(self.connections):
             connection.close_idle()
         try:
             async with asyncio.timeout(longest_s):
                 await self._empty.wait()
         except TimeoutError:
-            log.warning("%d connections still open at the end", len(self._connections))
+            log.warning("%d connections still open at the end", len(self.connections))
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,150 @@
+"""Discovery over loopback sockets: lists and changes, dead watches, and what the balancer hears of them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cedarcross.interface import EndpointsListed, EndpointState, ListKind
+from cedarcross.proxy import discovery as module
+from cedarcross.proxy.discovery import Directory, Discovery
+from tests.sockets import Host, Registry, entry, run, until
+
+
+class Told:
+    """A discovery with what it told, and its registry."""
+
+    def __init__(self, registry: Registry, asked: bool = True) -> None:
+        self.events: list[EndpointsListed] = []
+        self.directory = Directory()
+        self.registry = registry
+        address = ("127.0.0.1", registry.port)
+        self.discovery = Discovery(address, asked, self.directory, self.events.append)
+
+    @property
+    def kinds(self) -> list[ListKind]:
+        return [event.kind for event in self.events]
+
+    async def subscribe(self) -> None:
+        calls = len(self.registry.watches)
+        self.discovery.subscribe()
+        await until(lambda: len(self.registry.watches) > calls)
+
+
+A, B = Host("a", port=1), Host("b", port=2)
+
+
+def test_whole_list_then_changes() -> None:
+    async def test() -> None:
+        registry = await Registry().start()
+        told = Told(registry)
+        await told.subscribe()
+        registry.say(registry.change(entry(A), entry(B), full=True))
+        registry.say(registry.change(entry(A, "draining")) + registry.change(entry(B, "gone")))
+        await until(lambda: len(told.events) == 3)
+        assert told.kinds == [ListKind.FULL, ListKind.DELTA, ListKind.DELTA]
+        assert {e.name: e.state for e in told.directory.entries.values()} == {"a": EndpointState.DRAINING}
+        assert not told.directory.usable()
+        told.discovery.stop()
+        registry.stop()
+
+    run(test())
+
+
+def test_chunks_that_do_not_end_on_lines() -> None:
+    async def test() -> None:
+        registry = await Registry().start()
+        told = Told(registry)
+        await told.subscribe()
+        data = registry.change(entry(A), full=True) + registry.change(entry(B)) + b"\n"
+        for at in range(0, len(data), 7):
+            registry.say(data[at : at + 7])
+            await asyncio.sleep(0)
+        await until(lambda: len(told.events) == 2)
+        assert set(told.directory.entries) == {"a", "b"}
+        told.discovery.stop()
+        registry.stop()
+
+    run(test())
+
+
+def test_call_is_answered_once_also_if_nothing_changed() -> None:
+    async def test() -> None:
+        registry = await Registry().start()
+        told = Told(registry)
+        told.directory.apply({"index": 41, "snapshot": True, "endpoints": [entry(A)]}, restored=True)
+        await told.subscribe()
+        assert "since=41" in registry.calls[0]
+        registry.say(b"\n")
+        registry.say(b"\n")
+        registry.say(registry.change(entry(B)))
+        await until(lambda: len(told.events) == 2)
+        assert told.events[0] == EndpointsListed(ListKind.DELTA)
+        assert set(told.directory.entries) == {"a", "b"}
+        told.discovery.stop()
+        registry.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["reset", "silence", "unreadable", "refused"])
+def test_broken_watch_is_told_once_as_failed(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    # A cut-off discovery says nothing, not even an end of stream: only its silence tells.
+    if how == "silence":
+        monkeypatch.setattr(module, "SILENCE_S", 0.1)
+
+    async def test() -> None:
+        registry = await Registry().start()
+        told = Told(registry)
+        if how == "refused":
+            registry.stop()
+            told.discovery.subscribe()
+            await until(lambda: ListKind.FAILED in told.kinds)
+            assert told.kinds == [ListKind.FAILED]
+            return
+        await told.subscribe()
+        registry.say(registry.change(entry(A), full=True))
+        await until(lambda: len(told.events) == 1)
+        if how == "reset":
+            registry.watches[0].transport.abort()
+        elif how == "unreadable":
+            registry.say(b'{"index": 9, "endpoints": [{"name": "x"}]}\n')
+        await until(lambda: len(told.events) == 2)
+        assert told.kinds == [ListKind.FULL, ListKind.FAILED]
+        assert set(told.directory.entries) == {"a"}  # the old list stands
+        await told.subscribe()
+        # What could not be read may have been a change: only the whole list mends that.
+        assert ("since=" in registry.calls[1]) is (how != "unreadable")
+        told.discovery.stop()
+        registry.stop()
+
+    run(test())
+
+
+def test_pushed_lists_are_followed_without_being_asked_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "RETRY_S", 0.01)
+
+    async def test() -> None:
+        registry = await Registry().start()
+        told = Told(registry, asked=False)
+        told.discovery.start()
+        await until(lambda: len(registry.watches) == 1)
+        registry.watches[0].transport.abort()
+        await until(lambda: len(registry.watches) == 2)
+        registry.say(registry.change(entry(A), full=True))
+        await until(lambda: told.kinds == [ListKind.FULL])
+        told.discovery.stop()
+        registry.stop()
+
+    run(test())
+
+
+def test_start_time_is_the_same_whenever_it_is_told() -> None:
+    # The balancer takes another start time for a restart and forgets what it knew of the host.
+    directory = Directory()
+    message = {"index": 1, "snapshot": True, "endpoints": [entry(A, since_ms=1_700_000_000_000)]}
+    first, second = directory.apply(message), directory.apply(message)
+    assert first.endpoints[0].started_ms == second.endpoints[0].started_ms
+    assert first.endpoints[0].started_ms is not None
+    assert directory.apply({**message, "endpoints": [entry(A)]}).endpoints[0].started_ms is None
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,356 @@
+"""The application's side over loopback sockets: one final answer each, bounds, and an orderly end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from typing import cast
+
+import pytest
+
+from cedarcross.balance import Balancer
+from cedarcross.interface import Action, Event
+from tests.sockets import (
+    KEYED_CLASS,
+    UNSAFE_CLASS,
+    Client,
+    Got,
+    Host,
+    entry,
+    http,
+    proxy,
+    run,
+    served,
+    until,
+)
+
+
+async def silent(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+    pass
+
+
+def test_request_goes_on_unchanged_and_the_answer_comes_back() -> None:
+    async def echo(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        writer.write(http(200, got.body[::-1], Content_Type="text/x", Endpoint_Load_Metrics="TEXT queue=1"))
+
+    async def test() -> None:
+        host = Host("h", echo)
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+            body = bytes(range(256)) * 256
+            status, headers, answer = await client.ask(KEYED_CLASS, body=body, key="abc", X_Other="o")
+            assert (status, answer, headers["content-type"]) == (200, body[::-1], "text/x")
+            assert "endpoint-load-metrics" not in headers
+            (got,) = host.got
+            assert got.line == f"POST /{KEYED_CLASS}/7f3a HTTP/1.1"
+            assert (got.body, got.headers["idempotency-key"], got.headers["x-other"]) == (body, "abc", "o")
+            assert got.headers["x-trace-id"] and 0 < int(got.headers["x-expires-in-ms"]) <= 5000
+            client.close()
+
+    run(test())
+
+
+def test_ready_once_a_usable_list_is_there() -> None:
+    async def test() -> None:
+        host = Host("h")
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+
+            async def ready() -> int:
+                client.writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                return (await client.answer())[0]
+
+            assert await ready() == 200
+            p.registry.say(p.registry.change(entry(host, "gone")))
+            await until(lambda: not p.directory.usable())
+            assert await ready() == 503
+            client.close()
+
+    run(test())
+
+
+def test_final_answer_comes_before_the_deadline() -> None:
+    # The client is gone at its deadline: what is still out then is ended, and answered a little before.
+    async def test() -> None:
+        host = Host("h", silent)
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+            status, _, _ = await client.ask(expires_ms=2000)
+            assert status == 502
+            await until(lambda: host.open == 0 and p.core.held == 0)
+            client.close()
+
+    run(test())
+
+
+def test_guard_answers_whatever_the_balancer_does(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A balancer that never ends a request: one that may have run fails, one that can't have is refused.
+    act = Balancer.handle
+
+    def mute(self: Balancer, now_ms: float, events: Sequence[Event]) -> list[Action]:
+        return [a for a in act(self, now_ms, events) if type(a).__name__ in allowed]
+
+    allowed = {"Send", "Subscribe"}
+    monkeypatch.setattr(Balancer, "handle", mute)
+
+    async def test() -> None:
+        host = Host("h", silent)
+        async with proxy(host) as p:
+            for let, expected in ({"Send"}, (502, 504)), (set[str](), (503,)):
+                allowed.clear()
+                allowed.update(let)
+                client = await Client.connect(p.port)
+                began = time.monotonic()
+                status, _, _ = await client.ask(expires_ms=1200)
+                assert status in expected
+                assert time.monotonic() - began >= 1.0  # not before its time either
+                await until(lambda: p.core.held == 0)
+                client.close()
+
+    run(test())
+
+
+def test_client_that_leaves_ends_its_attempts() -> None:
+    async def test() -> None:
+        host = Host("h", silent)
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+            client.send()
+            await until(lambda: len(host.got) == 1)
+            client.close()
+            await until(lambda: host.open == 0 and p.core.held == 0)
+            assert p.upstream.open == 0
+
+    run(test())
+
+
+def test_no_hosts_is_a_refusal() -> None:
+    async def test() -> None:
+        host = Host("h")
+        async with proxy(host) as p:
+            p.registry.say(p.registry.change(full=True))
+            await until(lambda: not p.directory.usable())
+            client = await Client.connect(p.port)
+            assert (await client.ask(expires_ms=300))[0] == 503
+            client.close()
+
+    run(test())
+
+
+BAD = [
+    (b"nonsense\r\n\r\n", 400),
+    (b"POST /c HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nX-Trace-Id: 1\r\nContent-Length: 0\r\n\r\n", 400),
+    (b"POST /c HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400),  # no trace id
+    (b"POST /c HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Expires-In-Ms: soon\r\nContent-Length: 0\r\n\r\n", 400),
+    (b"POST /c HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Expires-In-Ms: nan\r\nContent-Length: 0\r\n\r\n", 400),
+    (b"POST /c HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Expires-In-Ms: -1\r\nContent-Length: 0\r\n\r\n", 400),
+    (b"GET /c HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n", 400),
+    (b"POST /c HTTP/1.1\r\nX-Trace-Id: 1\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, 413),
+    (b"GET /c HTTP/1.1\r\nX-Much: " + b"x" * 20_000 + b"\r\n\r\n", 431),
+    (b"GET /c HTTP/1.1\r\nX-Endless: " + b"x" * 20_000, 431),
+    (b"GET /" + b"x" * 20_000, 431),
+]
+
+
+@pytest.mark.parametrize(("data", "status"), BAD)
+def test_malformed_requests_are_answered_and_closed(data: bytes, status: int) -> None:
+    # None of them may wear a refusal, end the process or go to a host.
+    async def test() -> None:
+        host = Host("h")
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+            client.writer.write(data)
+            got, headers, _ = await client.answer()
+            assert (got, headers["connection"]) == (status, "close")
+            assert await client.reader.read() == b""
+            other = await Client.connect(p.port)
+            assert (await other.ask())[0] == 200
+            assert len(host.got) == 1
+            client.close()
+            other.close()
+
+    run(test())
+
+
+def test_malformed_bytes_behind_a_request_leave_it_its_answer() -> None:
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            client = await Client.connect(p.port)
+            client.send()
+            client.writer.write(b"nonsense\r\n\r\n")
+            assert (await client.answer())[0] == 200
+            assert (await client.answer())[0] == 400
+            client.close()
+
+    run(test())
+
+
+def test_requests_ahead_of_their_turn_are_answered_in_order() -> None:
+    async def echo(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        writer.write(http(200, got.body))
+
+    async def test() -> None:
+        async with proxy(Host("h", echo)) as p:
+            client = await Client.connect(p.port)
+            for number in range(20):
+                client.send(body=b"%d" % number)
+            for number in range(20):
+                assert (await client.answer())[::2] == (200, b"%d" % number)
+            client.close()
+
+    run(test())
+
+
+def test_request_in_single_bytes() -> None:
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            client = await Client.connect(p.port)
+            head = (
+                f"POST /{UNSAFE_CLASS}/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nContent-Length: 3\r\n\r\nabc".encode()
+            )
+            for byte in head:
+                client.writer.write(bytes((byte,)))
+                await client.writer.drain()
+                await asyncio.sleep(0)
+            assert (await client.answer())[0] == 200
+            client.close()
+
+    run(test())
+
+
+def test_class_that_is_not_in_the_settings_is_served() -> None:
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            client = await Client.connect(p.port)
+            assert (await client.ask("unheard-of"))[0] == 200
+            client.close()
+
+    run(test())
+
+
+def test_keyed_class_without_its_key_gets_one_attempt() -> None:
+    # The hosts can't drop a repeat that carries no key: a second try would run twice.
+    async def broken(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    async def test() -> None:
+        hosts = Host("h", broken), Host("g", broken)
+        async with proxy(*hosts) as p:
+            client = await Client.connect(p.port)
+            client.writer.write(
+                f"POST /{KEYED_CLASS}/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            assert (await client.answer())[0] == 502
+            assert sum(len(h.got) for h in hosts) == 1
+            client.close()
+
+    run(test())
+
+
+def test_failing_balancer_leaves_nobody_without_an_answer(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # Loud, each held request ended, and the next one served: what may have run is no refusal.
+    act = Balancer.handle
+    fail = [False]
+
+    def handle(self: Balancer, now_ms: float, events: Sequence[Event]) -> list[Action]:
+        if fail[0]:
+            fail[0] = False
+            raise RuntimeError("a defect")
+        return act(self, now_ms, events)
+
+    monkeypatch.setattr(Balancer, "handle", handle)
+
+    async def test() -> None:
+        host = Host("h", silent)
+        async with proxy(host) as p:
+            first, second = await Client.connect(p.port), await Client.connect(p.port)
+            first.send()
+            await until(lambda: len(host.got) == 1)
+            fail[0] = True
+            second.send()
+            assert (await first.answer())[0] == 500
+            assert (await second.answer())[0] == 503
+            assert p.core.held == 0
+            host.answer = served
+            assert (await second.ask())[::2] == (200, b"from h")
+            first.close()
+            second.close()
+
+    run(test())
+    assert "a defect" in caplog.text
+
+
+def test_slow_reader_gets_no_further_answers_until_it_reads() -> None:
+    async def large(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        writer.write(http(200, b"x" * 65536))
+
+    async def test() -> None:
+        host = Host("h", large)
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+            transport = cast(asyncio.Transport, client.writer.transport)
+            transport.pause_reading()
+            total = 400
+            for _ in range(total):
+                client.send(expires_ms=60_000, body=b"")
+            (connection,) = p.front.connections
+            await until(lambda: not connection.writable)
+            asked = len(host.got)
+            assert asked < total
+            transport.resume_reading()
+            for _ in range(total):
+                assert (await client.answer())[0] == 200
+            client.close()
+
+    run(test())
+
+
+def test_short_of_descriptors_the_longest_idle_client_connection_is_closed() -> None:
+    async def test() -> None:
+        async with proxy(Host("h"), most=2) as p:
+            clients = [await Client.connect(p.port) for _ in range(2)]
+            for client in clients:
+                assert (await client.ask())[0] == 200
+            third = await Client.connect(p.port)
+            assert (await third.ask())[0] == 200
+            assert await clients[0].reader.read() == b""
+            assert (await clients[1].ask())[0] == 200
+            for client in [*clients, third]:
+                client.close()
+
+    run(test())
+
+
+def test_end_serves_who_still_comes_and_finishes_what_is_taken() -> None:
+    # At a planned restart connections go on coming for a while; what is taken is answered all the same.
+    async def held(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(http(200, b"late"))
+
+    release = asyncio.Event()
+
+    async def test() -> None:
+        hosts = Host("h", held), Host("g", held)
+        async with proxy(*hosts) as p:
+            taken, idle = await Client.connect(p.port), await Client.connect(p.port)
+            taken.send()
+            await until(lambda: sum(len(h.got) for h in hosts) == 1)
+            ending = asyncio.create_task(p.front.end(0.3, 10.0))
+            coming = await Client.connect(p.port)
+            coming.send()
+            await until(lambda: sum(len(h.got) for h in hosts) == 2)
+            assert not ending.done()
+            assert await idle.reader.read() == b""  # closed between requests, once nobody comes any more
+            with pytest.raises(OSError):
+                await Client.connect(p.port)
+            release.set()
+            for client in taken, coming:
+                status, headers, body = await client.answer()
+                assert (status, headers["connection"], body) == (200, "close", b"late")
+            await ending
+
+    run(test())
