--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,158 @@
+"""The program as the platform starts it: its configuration, and its life from start to SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cedarcross.proxy.config import Config, ConfigError, load, read_address
+from tests.sockets import Client, Got, Host, Json, Registry, entry, facts, http, run, until
+
+
+def written(path: Path, **changes: Any) -> dict[str, str]:
+    """An environment with a configuration in it; a change to None leaves the field out."""
+    config: Json = {
+        "name": "n3",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": facts(),
+        **changes,
+    }
+    file = path / "config.json"
+    file.write_text(json.dumps({name: value for name, value in config.items() if value is not None}))
+    return {"LB_CONFIG": str(file)}
+
+
+def test_configuration_is_read(tmp_path: Path) -> None:
+    known = {"index": 4, "snapshot": True, "endpoints": []}
+    config = load(written(tmp_path, known=known) | {"LB_LISTEN": "127.0.0.5:80"})
+    assert isinstance(config, Config)
+    assert (config.name, config.listen, config.discovery) == ("n3", ("127.0.0.5", 80), ("127.0.0.1", 9))
+    assert (config.seed, config.sockets, config.known) == (0x8C1F30D27A5BE964, 1024, known)
+    assert [c.name for c in config.settings.classes] == ["extract-issue", "entry-register"]
+
+
+@pytest.mark.parametrize(("text", "address"), [("10.0.0.4:81", ("10.0.0.4", 81)), ("[::1]:5", ("::1", 5))])
+def test_addresses(text: str, address: tuple[str, int]) -> None:
+    assert read_address(text) == address
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"listen": "somewhere:80"},
+        {"listen": "127.0.0.1"},
+        {"discovery": None},
+        {"discovery": "127.0.0.1:99999"},
+        {"seed": "xyz"},
+        {"settings": None},
+        {"settings": {}},
+        {"settings": []},
+        {"settings": {**facts(), "balancers": 0}},
+        {"limits": {"sockets": "many"}},
+        {"limits": []},
+    ],
+)
+def test_unusable_configuration(tmp_path: Path, changes: Json) -> None:
+    if changes == {"limits": []}:
+        assert load(written(tmp_path, **changes)).sockets == 1024  # an empty value: the default stands
+        return
+    with pytest.raises(ConfigError) as caught:
+        load(written(tmp_path, **changes))
+    assert "\n" not in str(caught.value)
+
+
+async def start(env: dict[str, str]) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cedarcross.proxy", env=os.environ | env, stderr=asyncio.subprocess.PIPE
+    )
+
+
+@pytest.mark.parametrize("content", [None, "{", "[]", "{}"])
+def test_bad_input_ends_it_with_one_plain_line(tmp_path: Path, content: str | None) -> None:
+    async def test() -> None:
+        file = tmp_path / "config.json"
+        if content is not None:
+            file.write_text(content)
+        process = await start({"LB_CONFIG": str(file)})
+        _, err = await process.communicate()
+        assert process.returncode == 2
+        assert err.startswith(b"cedarcross.proxy: ") and err.count(b"\n") == 1
+
+    run(test())
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+async def connected(port: int) -> Client:
+    """As the application does: again until somebody listens."""
+    while True:
+        try:
+            return await Client.connect(port)
+        except OSError:
+            await asyncio.sleep(0.01)
+
+
+def test_planned_restart_loses_nothing(tmp_path: Path) -> None:
+    # Ready on the restored list alone; after SIGTERM what is taken is answered, then it ends by itself.
+    release = asyncio.Event()
+
+    async def held(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(http(200, b"done"))
+
+    async def test() -> None:
+        host, registry = await Host("h", held).start(), await Registry().start()
+        port = free_port()
+        known = {"index": 1, "snapshot": True, "endpoints": [entry(host)]}
+        process = await start(
+            written(
+                tmp_path, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}", known=known
+            )
+        )
+        probe = await connected(port)
+        probe.writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
+        assert (await probe.answer())[0] == 200
+        await until(lambda: bool(registry.calls))
+        assert "follow=1&since=1" in registry.calls[0]
+        client = await Client.connect(port)
+        client.send()
+        await until(lambda: len(host.got) == 1)
+        process.send_signal(signal.SIGTERM)
+        assert await probe.reader.read() == b""  # closed: it stopped taking connections
+        release.set()
+        status, headers, body = await client.answer()
+        assert (status, headers["connection"], body) == (200, "close", b"done")
+        assert await process.wait() == 0
+        host.stop()
+        registry.stop()
+
+    run(test())
+
+
+def test_taken_port_is_said_on_one_line(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host("h").start()
+        process = await start(written(tmp_path, listen=f"127.0.0.1:{host.port}"))
+        _, err = await process.communicate()
+        assert process.returncode == 1
+        assert err.startswith(b"cedarcross.proxy: ") and err.count(b"\n") == 1
+        host.stop()
+
+    run(test())
