Read the configuration again on SIGHUP

The file's address of discovery is followed at once, without an index (another service's means nothing); the list stands until the new service answers, the old watch is closed by us and so is no failure. A file that can't be used leaves all as it was and a line in the log. A signal while the loop closes is blocked. Test: test_sighup_moves_to_the_discovery_that_the_file_names_now, which fails without the handler.

--- a/cedarcross/proxy/__main__.py
+++ b/cedarcross/proxy/__main__.py
@@ -43,7 +43,9 @@
             log.warning("the known list is unusable: %s", error)
     front = Front(core, settings, directory.usable, to_clients)
     stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, core.discovery)
     await front.listen(*config.listen)
     core.start()
     core.discovery.start()
@@ -51,9 +53,23 @@
     longest_ms = max((cls.deadline_ms for cls in settings.classes), default=DEFAULT_DEADLINE_MS)
     await front.end(STILL_COMING_S, longest_ms / 1000.0 + SPARE_S)
     core.discovery.stop()
+    # With the loop its handlers go, and a signal that came then would end the process the hard way.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM))
+
+
+def reload(discovery: Discovery) -> None:
+    """On SIGHUP: the file's address of discovery. All else in it is for the next start."""
+    try:
+        address = load(os.environ, again=True).discovery
+    except ConfigError as error:
+        log.warning("the new configuration is unusable, the old one stands: %s", error)
+        return
+    log.info("configuration read again, discovery at %s:%d", *address)
+    discovery.move(address)
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
--- a/cedarcross/proxy/config.py
+++ b/cedarcross/proxy/config.py
@@ -53,8 +53,9 @@
         raise ConfigError(f"seed is neither a number nor hexadecimal: {value!r}") from None
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """Raises ConfigError for whatever is missing or malformed."""
+def load(env: Mapping[str, str], again: bool = False) -> Config:
+    """Raises ConfigError for whatever is missing or malformed. Read again under way, the file is newer
+    than the environment, which is the process's for life: its `discovery` wins then."""
     path = env.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -68,7 +69,7 @@
     try:
         settings = read_settings(raw["settings"])
         listen = env.get("LB_LISTEN") or raw["listen"]
-        discovery = env.get("LB_DISCOVERY") or raw["discovery"]
+        discovery = raw["discovery"] if again else env.get("LB_DISCOVERY") or raw["discovery"]
         limits = raw.get("limits") or {}
         return Config(
             name=str(env.get("LB_NAME") or raw.get("name", "")),
--- a/cedarcross/proxy/discovery.py
+++ b/cedarcross/proxy/discovery.py
@@ -186,6 +186,15 @@
         self._watch = Watch(self._on_line, self._failed)
         self._watch.open(self._address, self._directory.index)
 
+    def move(self, address: Address) -> None:
+        """Follow another service from now on. The list stands until that one answers, with the whole of
+        its own: an index of the old service means nothing there."""
+        if address == self._address:
+            return
+        self._address = address
+        self._directory.index = None
+        self.subscribe()
+
     def stop(self) -> None:
         if self._watch is not None:
             self._watch.close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -156,3 +156,51 @@
         host.stop()
 
     run(test())
+
+
+def test_sighup_moves_to_the_discovery_that_the_file_names_now(tmp_path: Path) -> None:
+    # It used to end the process. The environment can't change under it, so the file wins from then on.
+    async def test() -> None:
+        host, other = await Host("h").start(), await Host("g").start()
+        old, new = await Registry().start(), await Registry().start()
+        port = free_port()
+
+        def config(address: str) -> dict[str, str]:
+            known = {"index": 70, "snapshot": True, "endpoints": [entry(host)]}
+            return written(tmp_path, listen=f"127.0.0.1:{port}", discovery=address, known=known)
+
+        env = config(f"127.0.0.1:{old.port}") | {"LB_DISCOVERY": f"127.0.0.1:{old.port}"}
+        process = await start(env)
+        assert process.stderr is not None
+        client = await connected(port)
+        await until(lambda: len(old.watches) == 1)
+        assert "since=70" in old.calls[0]
+
+        # An unusable file: the old one stands, and a line says so.
+        (tmp_path / "config.json").write_text("{")
+        process.send_signal(signal.SIGHUP)
+        while b"unusable" not in await process.stderr.readline():
+            pass
+        old.say(old.change(entry(host), full=True))
+        assert (await client.ask())[0] == 200
+
+        config(f"127.0.0.1:{new.port}")
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: len(new.watches) == 1)
+        assert "since" not in new.calls[0]  # an index of the old service means nothing to the new one
+        old.stop()  # no failure: it is not followed any more
+        assert (await client.ask())[0] == 200  # the old list stands until the new one has answered
+        process.send_signal(signal.SIGHUP)  # nothing new in it: what is followed goes on
+        new.say(new.change(entry(other), full=True))
+        while (await client.ask())[2] != b"from g":
+            pass
+        assert len(new.calls) == 1
+
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        assert await process.wait() == 0
+        assert b"WARNING" not in await process.stderr.read()
+        for part in (host, other, new):
+            part.stop()
+
+    run(test())
