Serve a whole answer whatever follows it; bound an answer's heads by the bytes read

Checked by a trace of every parser error: the surplus is a second copy or 52 bytes of noise, and the answer was complete each time; answers with a wrong length never completed (two lengths, a length that is no number, more than 64 KiB), so 'complete' tells the two apart. Ruled out: a length too short for its body did not occur. At fault: HostConnection.data_received and _broken (a whole answer was dropped), on_header (a header without an end stays inside the parser and was never counted; interim answers reset the count), on_body (3 GB were noticed after 64 KiB). An answer that can't be read is an error now, not a reset: the host did answer, and as a reset the module took it for the death of an idle connection. Negative or infinite reports are none.

--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -108,14 +108,15 @@
         self.attempt: Attempt | None = None
         self.idle_since_ms = 0.0
         self.lost = False
-        self._reset_answer()
+        self._begin()
 
-    def _reset_answer(self) -> None:
+    def _begin(self) -> None:
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._size = 0
         self._complete = False
         self._keep = False
+        self._head_bytes: int | None = 0  # read of the heads so far, interim ones too; None: past them
 
     # The pool's side
 
@@ -124,7 +125,7 @@
         where the system takes none of it, the host can't have it."""
         self.attempt = attempt
         attempt.connection = self
-        self._reset_answer()
+        self._begin()
         try:
             sent = self._sock.send(attempt.wire)
         except (BlockingIOError, InterruptedError):
@@ -171,18 +172,26 @@
         if self.attempt is None:
             self.abort()  # nothing was asked: whatever comes would be taken for the next answer
             return
+        # Counted here: the parser keeps a header to itself until it ends, and it need not end.
+        if self._head_bytes is not None:
+            self._head_bytes += len(data)
+        sound = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._broken()
-        if self.attempt is not None and self._complete:
+            sound = False
+        if self._complete:
+            # What follows a whole answer is not part of it: the answer is good, the connection is not.
+            self._keep = self._keep and sound
             self._answered(self.attempt)
+        elif not sound or (self._head_bytes or 0) > MAX_HEADERS:
+            self._broken()
 
     def _broken(self) -> None:
-        """A malformed answer: it may have run, and is never served."""
-        self._complete = False
+        """A malformed answer, which is never served. The host has answered, so its connection was no
+        dead one and the request runs no more: an error, not a reset."""
         if self.attempt is not None:
-            self.attempt.end(Outcome.RESET)
+            self.attempt.end(Outcome.ERROR)
         self.abort()
 
     def _answered(self, attempt: Attempt) -> None:
@@ -215,7 +224,13 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        if self._parser.get_status_code() < 200:
+            return  # an interim head: the real one is to come, and counts with it
+        self._head_bytes = None
         self._size = 0
+        # What says that it will be too large is not waited for. The parser has checked that it is a number.
+        if any(int(value) > MAX_BODY for name, value in self._headers if name.lower() == b"content-length"):
+            raise ValueError("body too large")
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
@@ -225,7 +240,7 @@
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < 200:
-            self._reset_answer()  # an interim answer
+            self._headers.clear()  # an interim answer
         else:
             self._complete = True
             # Asked in this call: once it returns, the parser has forgotten, and says no to every answer.
@@ -416,6 +431,8 @@
             return None
         told = dict(REPORT_VALUE.findall(value))
         try:
-            return tuple(float(told[name]) for name in self._fields)
+            report = tuple(float(told[name]) for name in self._fields)
         except (KeyError, ValueError):
             return None
+        # What is no load at all must reach no decision: one infinity would stay in every mean.
+        return report if all(0 <= figure < float("inf") for figure in report) else None
