Take one error among good answers for bad luck, not for a bad host

Reckoned: 3% errors that halve a limit hold it near the root of 0.25 / (0.03 / 2), which is 4. Ruled out: slow hosts (strain far below 1), silent ones (rare), the retry budget (90 to 100 tokens). At fault: Endpoint.failed, called from _learn for every outcome but OK and TIMEOUT. An error now counts against the payoff as before; it pauses the host only when errors are more than 0.3 of its recent answers (two close together, from a good record). Refusals, failed and reset connections act at once as before.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -72,6 +72,7 @@
 SILENT_SIDE_BY_SIDE = 4  # with more in flight gaps are not taken to be shorter: few are served side by side
 # Growth of a limit for each round of answers: by the time slowness shows, a surge has had some rounds.
 LIMIT_GROWTH = 0.25
+FEW_ERRORS = 0.3  # up to this share of recent answers errors are a host's bad luck; one in good ones is 0.2
 LONGEST_PAUSE = 0.5  # in longest deadlines; four were tried and did no better
 FIRST_LIMIT = 1.0  # own in flight allowed on a server nothing is known of: many proxies may start at once
 DEMAND_GAIN = 0.02  # about the last hundred requests tell what is asked for and served
@@ -236,6 +237,7 @@
         self.answered_ms = float("-inf")
         self.waiting_since_ms = 0.0  # since then it owes answers and has given none
         self.failures = 0  # in a row, a burst of them counted once
+        self.errors = 0.0  # smoothed share of errors among its answers
         self.paused_until_ms = 0.0
         self.drift_ms: float | None = None  # up to when its judgement has faded
         self.cold_credit = 0.0  # work that it may be sent while cold
@@ -266,8 +268,15 @@
     def answered(self, now_ms: float, latency_ms: float) -> None:
         self.answered_ms = self.waiting_since_ms = now_ms
         self.failures = 0
+        self.errors -= GAIN * self.errors
         self.latency_ms += (GAIN if self.latency_ms else 1.0) * (latency_ms - self.latency_ms)
 
+    def erred(self) -> bool:
+        """Do its errors tell of it? Danger: answers are spoilt now and then at any server, and a pause and
+        half the limit for each throttles healthy ones far below what they serve."""
+        self.errors += GAIN * (1 - self.errors)
+        return self.errors > FEW_ERRORS
+
     def failed(self, now_ms: float, pause_ms: float, longest_ms: float) -> None:
         """Danger: a server that turns work away or fails at once takes in, and spoils, more than its
         share. It gets a pause, doubled each time, and then little to prove itself with."""
@@ -1170,7 +1179,7 @@
         unheard = outcome is Outcome.TIMEOUT and alone and attempt.endpoint.answered_ms < attempt.sent_ms
         if outcome in (Outcome.OK, Outcome.TIMEOUT) and not unheard:
             attempt.endpoint.adapt_limit(max(usual.slowness(latency_ms), reported) / self._target())
-        else:
+        elif outcome is not Outcome.ERROR or attempt.endpoint.erred():
             attempt.endpoint.failed(self.now_ms, usual.base_ms, LONGEST_PAUSE * self.longest_deadline_ms)
 
     def _on_stream(self, event: StreamStarted) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -206,3 +206,29 @@
         replace(SETTINGS, classes=(SAFE, SAFE))
     with pytest.raises(ValueError, match="proxies"):
         replace(SETTINGS, proxies=0)
+
+
+def test_one_error_among_good_answers_neither_pauses_nor_throttles() -> None:
+    # Spoilt answers come from any server alike; each used to halve the limit of a healthy one.
+    driver = Driver(endpoints=[endpoint("only")])
+    only = driver.balancer.membership.endpoints["only"]
+    for _ in range(20):
+        driver.serve(9, "unsafe")
+        request, _ = driver.request("unsafe")
+        driver.end(request, Outcome.ERROR)
+        assert only.limit >= 4 and not only.suspended(driver.now_ms)
+    assert only.earned < 1  # but it counts against its payoff
+
+
+@pytest.mark.parametrize(
+    ("outcome", "first"), [(Outcome.ERROR, 2), (Outcome.RESET, 1), (Outcome.REJECTED, 1)]
+)
+def test_server_that_goes_on_failing_is_paused(outcome: Outcome, first: int) -> None:
+    driver = Driver(endpoints=[endpoint("only")])
+    only = driver.balancer.membership.endpoints["only"]
+    driver.serve(3, "unsafe")
+    for number in range(1, first + 1):
+        assert not only.suspended(driver.now_ms)
+        request, _ = driver.request("unsafe")
+        driver.end(request, outcome)
+        assert only.suspended(driver.now_ms) is (number == first)
