Keep payoff, errors and pauses by class at each server

At fault: Endpoint.earned, failed and suspended, which knew no classes; silent(), for which a refusal was no answer; judge, which took the time of a refusal for slowness. Now a class that fails at a server that serves another class without errors is paused there by itself; where all classes fail the server is paused as before.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -73,6 +73,7 @@
 # Growth of a limit for each round of answers: by the time slowness shows, a surge has had some rounds.
 LIMIT_GROWTH = 0.25
 FEW_ERRORS = 0.3  # up to this share of recent answers errors are a host's bad luck; one in good ones is 0.2
+NO_ERRORS = 0.1  # below this share a class has had none lately
 LONGEST_PAUSE = 0.5  # in longest deadlines; four were tried and did no better
 FIRST_LIMIT = 1.0  # own in flight allowed on a server nothing is known of: many proxies may start at once
 DEMAND_GAIN = 0.02  # about the last hundred requests tell what is asked for and served
@@ -107,6 +108,7 @@
 
 NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 CROWDED = (Outcome.OK, Outcome.TIMEOUT, Outcome.REJECTED)  # these can tell whether servers are crowded
+ANSWERED_BADLY = (Outcome.ERROR, Outcome.REJECTED)  # by a server that runs, at least
 NO_CONNECTION = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT)  # none is left idle after these
 MAY_STILL_RUN = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT)  # our own doing: says nothing about the server
@@ -223,12 +225,30 @@
         return min(SLOWNESS_MOST, max(SLOWNESS_LEAST, 1 + SLOWNESS_ROOM * room))
 
 
+def longer_ms(failures: int, first_ms: float, longest_ms: float) -> float:
+    """The pause after so many failures: doubled with each."""
+    return min(longest_ms, first_ms * 2.0 ** min(failures - 1, 16))
+
+
+@dataclass(slots=True)
+class Standing:
+    """What a class of requests meets at a server."""
+
+    earned: float  # smoothed share of worth that its answers earned
+    errors: float = 0.0  # smoothed share of errors among its answers
+    failures: int = 0  # its pauses, less answers since
+    paused_until_ms: float = 0.0
+    seen: bool = False  # it was served here
+
+
 class Endpoint:
     """One server as this proxy has come to know it."""
 
-    def __init__(self, listed: ListedEndpoint, earned: float, slowness: float, latency_ms: float) -> None:
+    def __init__(
+        self, listed: ListedEndpoint, earned: dict[str, float], slowness: float, latency_ms: float
+    ) -> None:
         self.listed = listed
-        self.earned = earned  # smoothed share of worth that its answers earned
+        self.classes = {name: Standing(usual) for name, usual in earned.items()}
         self.slowness = slowness  # smoothed latency, relative to what the class takes unhurried
         self.strain = 1.0  # smoothed; above 1 it is fed more than it should be
         self.in_flight = 0
@@ -247,15 +267,15 @@
         self.looked_ms = float("-inf")  # when that was
         self.lookers: list[Request] = []  # wait for the probe that is out
 
-    @property
-    def payoff(self) -> float:
-        return self.earned / self.slowness
+    def payoff(self, name: str) -> float:
+        return self.classes[name].earned / self.slowness
 
     def suspended(self, now_ms: float) -> bool:
         return now_ms < self.paused_until_ms or self.silent(now_ms)
 
-    def has_room(self, now_ms: float) -> bool:
-        return self.in_flight < self.limit and not self.suspended(now_ms)
+    def has_room(self, now_ms: float, name: str = "") -> bool:
+        paused = now_ms < self.classes[name].paused_until_ms or self.suspended(now_ms)
+        return self.in_flight < self.limit and not paused
 
     def silent(self, now_ms: float) -> bool:
         """Danger: a hung or cut-off server swallows work until the first time-out tells. Owed answers
@@ -265,29 +285,44 @@
         gap_ms = self.latency_ms / min(self.in_flight, SILENT_SIDE_BY_SIDE)
         return now_ms - self.waiting_since_ms > SILENT_GAPS * gap_ms
 
-    def answered(self, now_ms: float, latency_ms: float) -> None:
+    def answered(self, now_ms: float, name: str, latency_ms: float) -> None:
         self.answered_ms = self.waiting_since_ms = now_ms
         self.failures = 0
         self.errors -= GAIN * self.errors
+        own = self.classes[name]
+        own.errors -= GAIN * own.errors
+        own.failures = max(0, own.failures - 1)
+        own.seen = True
         self.latency_ms += (GAIN if self.latency_ms else 1.0) * (latency_ms - self.latency_ms)
 
-    def erred(self) -> bool:
-        """Do its errors tell of it? Danger: answers are spoilt now and then at any server, and a pause and
-        half the limit for each throttles healthy ones far below what they serve."""
+    def erred(self, now_ms: float, name: str, pause_ms: float, longest_ms: float) -> None:
+        """It answered, but with an error or a refusal. Danger: answers are spoilt now and then at any
+        server, and a pause and half the limit for each throttles healthy ones far below what they serve.
+        Danger: a server may fail one class alone; held against it, the others lose a good server."""
+        self.waiting_since_ms = now_ms  # it is not silent
+        own = self.classes[name]
+        own.errors += GAIN * (1 - own.errors)
         self.errors += GAIN * (1 - self.errors)
-        return self.errors > FEW_ERRORS
+        if not any(s.seen and s.errors < NO_ERRORS for s in self.classes.values() if s is not own):
+            if self.errors > FEW_ERRORS:
+                self.failed(now_ms, pause_ms, longest_ms)
+        elif own.errors > FEW_ERRORS and now_ms >= own.paused_until_ms:
+            own.failures += 1
+            own.paused_until_ms = now_ms + longer_ms(own.failures, pause_ms, longest_ms)
 
     def failed(self, now_ms: float, pause_ms: float, longest_ms: float) -> None:
         """Danger: a server that turns work away or fails at once takes in, and spoils, more than its
         share. It gets a pause, doubled each time, and then little to prove itself with."""
         if now_ms >= self.paused_until_ms:
             self.failures += 1
-            self.paused_until_ms = now_ms + min(longest_ms, pause_ms * 2.0 ** min(self.failures - 1, 16))
+            self.paused_until_ms = now_ms + longer_ms(self.failures, pause_ms, longest_ms)
             self.limit = max(1.0, self.limit / 2)
 
-    def judge(self, earned: float, slowness: float) -> None:
-        self.earned += GAIN * (earned - self.earned)
-        self.slowness += GAIN * (slowness - self.slowness)
+    def judge(self, name: str, earned: float, slowness: float | None) -> None:
+        own = self.classes[name]
+        own.earned += GAIN * (earned - own.earned)
+        if slowness is not None:
+            self.slowness += GAIN * (slowness - self.slowness)
 
     def adapt_limit(self, strain: float) -> None:
         """Danger: servers fed faster than they serve slow down, time out and jam. Grow a little a round
@@ -299,13 +334,14 @@
             self.limit += LIMIT_GROWTH / self.limit
         self.limit = max(1.0, self.limit)
 
-    def fade(self, now_ms: float, span_ms: float, earned: float, slowness: float) -> None:
+    def fade(self, now_ms: float, span_ms: float, earned: dict[str, float], slowness: float) -> None:
         """Drift towards the others' mean. Danger: a server judged bad is never drawn, so nothing
         would ever show that it is well again."""
         since_ms = now_ms if self.drift_ms is None else self.drift_ms
         self.drift_ms = now_ms
         share = min(1.0, (now_ms - since_ms) / span_ms)
-        self.earned += share * (earned - self.earned)
+        for name, own in self.classes.items():
+            own.earned += share * (earned[name] - own.earned)
         self.slowness += share * (slowness - self.slowness)
 
     def warmth(self, now_ms: float, safety: Safety) -> float:
@@ -485,7 +521,8 @@
         # Danger: crossings that buy nothing. Where they are dear, other zones get what the own can't take.
         self.near, self.far = Pool(settings), Pool(settings)
         # Smoothed over all servers: what an unknown one is taken for.
-        self.earned, self.slowness, self.latency_ms = 1.0, 1.0, 0.0
+        self.earned = {**{cls.name: 1.0 for cls in settings.classes}, "": 1.0}
+        self.slowness, self.latency_ms = 1.0, 0.0
 
     def update(self, event: EndpointsListed) -> None:
         if event.kind is ListKind.FAILED:
@@ -520,14 +557,15 @@
     def pool(self, endpoint: Endpoint) -> Pool:
         return self.near if self.is_near(endpoint) else self.far
 
-    def answered(self, now_ms: float, endpoint: Endpoint, latency_ms: float) -> None:
-        endpoint.answered(now_ms, latency_ms)
+    def answered(self, now_ms: float, endpoint: Endpoint, name: str, latency_ms: float) -> None:
+        endpoint.answered(now_ms, name, latency_ms)
         self.latency_ms += (GAIN / 4 if self.latency_ms else 1.0) * (latency_ms - self.latency_ms)
 
-    def judge(self, endpoint: Endpoint, earned: float, slowness: float) -> None:
-        endpoint.judge(earned, slowness)
-        self.earned += GAIN / 4 * (earned - self.earned)
-        self.slowness += GAIN / 4 * (slowness - self.slowness)
+    def judge(self, endpoint: Endpoint, name: str, earned: float, slowness: float | None) -> None:
+        endpoint.judge(name, earned, slowness)
+        self.earned[name] += GAIN / 4 * (earned - self.earned[name])
+        if slowness is not None:
+            self.slowness += GAIN / 4 * (slowness - self.slowness)
 
 
 class Picker:
@@ -537,7 +575,7 @@
         self._random = random
         self._safety = safety
 
-    def pick(self, now_ms: float, candidates: Sequence[Endpoint]) -> Endpoint | None:
+    def pick(self, now_ms: float, candidates: Sequence[Endpoint], name: str) -> Endpoint | None:
         """The better of two different servers drawn; the only one, if there is just one."""
         if len(candidates) < 2:
             return candidates[0] if candidates else None
@@ -545,13 +583,13 @@
         second = self._random.randrange(len(candidates) - 1)
         second += second >= first
         one, other = candidates[first], candidates[second]
-        return one if self.score(now_ms, one) >= self.score(now_ms, other) else other
+        return one if self.score(now_ms, one, name) >= self.score(now_ms, other, name) else other
 
-    def score(self, now_ms: float, endpoint: Endpoint) -> float:
+    def score(self, now_ms: float, endpoint: Endpoint, name: str) -> float:
         held: float = endpoint.in_flight
         if endpoint.held is not None:
             held = max(endpoint.held, held)
-        return endpoint.payoff * endpoint.warmth(now_ms, self._safety) / (1 + held)
+        return endpoint.payoff(name) * endpoint.warmth(now_ms, self._safety) / (1 + held)
 
 
 class Looks:
@@ -925,7 +963,7 @@
             return
         request.drawn, request.pairs = [], 0
         if told:
-            endpoint = max(told, key=lambda e: self.picker.score(self.now_ms, e))
+            endpoint = max(told, key=lambda e: self.picker.score(self.now_ms, e, request.class_name))
             self._send(request, endpoint)
             self.membership.pool(endpoint).gate.take(request.class_name, request.work)
         elif not self._try_send(request):
@@ -963,7 +1001,7 @@
         earned, slowness = self.membership.earned, self.membership.slowness
         for known in allowed:
             known.fade(self.now_ms, 4 * self.longest_deadline_ms, earned, slowness)
-        endpoint = self.picker.pick(self.now_ms, allowed)
+        endpoint = self.picker.pick(self.now_ms, allowed, request.class_name)
         if endpoint is None:
             return False
         self._send(request, endpoint)
@@ -971,7 +1009,8 @@
         return True
 
     def _allowed(self, request: Request, endpoints: list[Endpoint]) -> list[Endpoint]:
-        return [e for e in endpoints if e.has_room(self.now_ms) and self._may_send(request, e)]
+        name = request.class_name
+        return [e for e in endpoints if e.has_room(self.now_ms, name) and self._may_send(request, e)]
 
     def _hold(self, request: Request) -> None:
         """Danger: sent to full servers, work queues there until it is late, and jams them. It waits
@@ -1169,18 +1208,25 @@
             on_time = latency_ms <= aim_ms  # the server's doing; what the client sees began earlier
             in_time = self.now_ms <= request.arrived_ms + aim_ms
             self.demand.ended(cls.name, 1.0 if in_time else cls.late_worth)
-            self.membership.judge(attempt.endpoint, 1.0 if on_time else cls.late_worth, slowness)
-            self.membership.answered(self.now_ms, attempt.endpoint, latency_ms)
+            earned = 1.0 if on_time else cls.late_worth
+            self.membership.judge(attempt.endpoint, cls.name, earned, slowness)
+            self.membership.answered(self.now_ms, attempt.endpoint, cls.name, latency_ms)
         else:
-            # Danger: a server that fails fast looks quick. A failure never counts as faster than usual.
-            self.membership.judge(attempt.endpoint, 0.0, max(1.0, usual.slowness(latency_ms)))
+            # Danger: a server that fails fast looks quick. What an error took says nothing, and another
+            # failure never counts as faster than usual.
+            waited = None if outcome in ANSWERED_BADLY else max(1.0, usual.slowness(latency_ms))
+            self.membership.judge(attempt.endpoint, cls.name, 0.0, waited)
         # Danger: a hung server turns nothing away. A time-out tells of it if it has answered none meanwhile.
         # In a crowd it tells nothing: all are slow, and to send elsewhere only crowds the rest.
         unheard = outcome is Outcome.TIMEOUT and alone and attempt.endpoint.answered_ms < attempt.sent_ms
         if outcome in (Outcome.OK, Outcome.TIMEOUT) and not unheard:
             attempt.endpoint.adapt_limit(max(usual.slowness(latency_ms), reported) / self._target())
-        elif outcome is not Outcome.ERROR or attempt.endpoint.erred():
-            attempt.endpoint.failed(self.now_ms, usual.base_ms, LONGEST_PAUSE * self.longest_deadline_ms)
+            return
+        longest_ms = LONGEST_PAUSE * self.longest_deadline_ms
+        if outcome in ANSWERED_BADLY:
+            attempt.endpoint.erred(self.now_ms, cls.name, usual.base_ms, longest_ms)
+        else:
+            attempt.endpoint.failed(self.now_ms, usual.base_ms, longest_ms)
 
     def _on_stream(self, event: StreamStarted) -> None:
         request = self.requests.get(event.request_id)
