--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -111,7 +111,8 @@
 ANSWERED_BADLY = (Outcome.ERROR, Outcome.REJECTED)  # by a server that runs, at least
 NO_CONNECTION = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT)  # none is left idle after these
 MAY_STILL_RUN = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
-NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT)  # our own doing: says nothing about the server
+# Our own doing, or the client's: says nothing about the server.
+NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT, Outcome.UNUSABLE)
 
 
 class RetryBudget:
@@ -1235,6 +1236,11 @@
             self._drop_timer(request)
 
     def _retry(self, request: Request) -> None:
+        if request.attempts[-1].outcome is Outcome.UNUSABLE:
+            # Danger: a request that no server can use, tried at one after the other.
+            self.actions.append(Fail(request.id))
+            self._finish(request)
+            return
         more = len(request.attempts) < self.settings.limits.max_attempts
         if not (more and request.repeatable() and self._sleep(request)):
             self._give_up(request)
--- a/cedarcross/interface.py
+++ b/cedarcross/interface.py
@@ -42,6 +42,7 @@
     RESET = "reset"  # connection lost under way; may have run
     CANCELLED = "cancelled"  # called off by us; may have run
     NOT_SENT = "not_sent"  # the proxy did not send it
+    UNUSABLE = "unusable"  # answered with a fault of the request itself
 
 
 class EndpointState(Enum):
--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -84,7 +84,7 @@
         self._events: list[Event] = []
         self._scheduled = False
         self._life = 0  # of the balancer: timers of an earlier one are void
-        self._balancer = Balancer(settings, seed)
+        self.balancer = Balancer(settings, seed)
         self.discovery: Discovery | None = None
 
     @property
@@ -199,7 +199,7 @@
         self._scheduled = False
         events, self._events = self._events, []
         try:
-            actions = self._balancer.handle(now_ms(), events)
+            actions = self.balancer.handle(now_ms(), events)
             for action in actions:
                 self._carry_out(action)
         except Exception:
@@ -210,7 +210,7 @@
         for held in list(self._held.values()):
             self._end_without_balancer(held, 500)
         self._life += 1
-        self._balancer = Balancer(self._settings, self._seed + self._life)
+        self.balancer = Balancer(self._settings, self._seed + self._life)
         self._events.clear()  # they are of the old balancer's requests
         # Not at once: decisions that fail whenever they begin would take the whole core with it.
         asyncio.get_running_loop().call_later(ANEW_S, self._restore, self._life)
--- a/cedarcross/proxy/messages.py
+++ b/cedarcross/proxy/messages.py
@@ -55,6 +55,7 @@
     key: str | None = None
     hint_ms: float | None = None
     repeat: bool = False
+    trace_id: bytes = b""
     head: bytes = field(default=b"")  # what goes to a host, up to the time that is left
 
     def to_wire(self, left_ms: float) -> bytes:
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -202,6 +202,8 @@
             outcome = Outcome.OK
         elif status in (503, 504) and never_ran:
             outcome = Outcome.REJECTED
+        elif 400 <= status < 500:
+            outcome = Outcome.UNUSABLE
         else:
             outcome = Outcome.ERROR
         self.attempt = attempt.connection = None
