Judge a server by the share of its attempts that fail above all servers' mean

Ruled out: slow hosts (their answers are as fast as before), crowded ones (reports: 1 in hand, 0 waiting). At fault: Endpoint.failed for each reset, failed connection and time-out; adapt_limit, which took the whole wait for a lost request as slowness; IdleConnections.died, which took any quick reset on a connection that had been idle for an idle death and had nearly all of them closed before use (2900 new connections). Now all failures count as errors did, by their share above the mean over all servers; a time-out of four times a server's latency, while it answers others, is a lost request; a reset is no idle death where what idled as long was served lately. In large shared fleets an unheard time-out pauses at once, as before.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -72,8 +72,11 @@
 SILENT_SIDE_BY_SIDE = 4  # with more in flight gaps are not taken to be shorter: few are served side by side
 # Growth of a limit for each round of answers: by the time slowness shows, a surge has had some rounds.
 LIMIT_GROWTH = 0.25
-FEW_ERRORS = 0.3  # up to this share of recent answers errors are a host's bad luck; one in good ones is 0.2
+# Up to this share above all servers' mean, failures among recent attempts are a server's bad luck; one in
+# good ones is 0.2.
+FEW_ERRORS = 0.3
 NO_ERRORS = 0.1  # below this share a class has had none lately
+LOST = 4.0  # what takes so many times a server's usual latency, while others are answered, is not in work
 LONGEST_PAUSE = 0.5  # in longest deadlines; four were tried and did no better
 FIRST_LIMIT = 1.0  # own in flight allowed on a server nothing is known of: many proxies may start at once
 DEMAND_GAIN = 0.02  # about the last hundred requests tell what is asked for and served
@@ -296,18 +299,18 @@
         own.seen = True
         self.latency_ms += (GAIN if self.latency_ms else 1.0) * (latency_ms - self.latency_ms)
 
-    def erred(self, now_ms: float, name: str, pause_ms: float, longest_ms: float) -> None:
-        """It answered, but with an error or a refusal. Danger: answers are spoilt now and then at any
-        server, and a pause and half the limit for each throttles healthy ones far below what they serve.
+    def erred(self, now_ms: float, name: str, usual: float, pause_ms: float, longest_ms: float) -> None:
+        """An attempt failed, while `usual` is the share that fails at all servers. Danger: answers are
+        spoilt and connections break now and then at any server, and a pause and half the limit for each
+        throttles healthy ones far below what they serve.
         Danger: a server may fail one class alone; held against it, the others lose a good server."""
-        self.waiting_since_ms = now_ms  # it is not silent
         own = self.classes[name]
         own.errors += GAIN * (1 - own.errors)
         self.errors += GAIN * (1 - self.errors)
         if not any(s.seen and s.errors < NO_ERRORS for s in self.classes.values() if s is not own):
-            if self.errors > FEW_ERRORS:
+            if self.errors > FEW_ERRORS + usual:
                 self.failed(now_ms, pause_ms, longest_ms)
-        elif own.errors > FEW_ERRORS and now_ms >= own.paused_until_ms:
+        elif own.errors > FEW_ERRORS + usual and now_ms >= own.paused_until_ms:
             own.failures += 1
             own.paused_until_ms = now_ms + longer_ms(own.failures, pause_ms, longest_ms)
 
@@ -524,6 +527,7 @@
         # Smoothed over all servers: what an unknown one is taken for.
         self.earned = {**{cls.name: 1.0 for cls in settings.classes}, "": 1.0}
         self.slowness, self.latency_ms = 1.0, 0.0
+        self.errors = 0.0
 
     def update(self, event: EndpointsListed) -> None:
         if event.kind is ListKind.FAILED:
@@ -562,9 +566,12 @@
         endpoint.answered(now_ms, name, latency_ms)
         self.latency_ms += (GAIN / 4 if self.latency_ms else 1.0) * (latency_ms - self.latency_ms)
 
-    def judge(self, endpoint: Endpoint, name: str, earned: float, slowness: float | None) -> None:
+    def judge(
+        self, endpoint: Endpoint, name: str, earned: float, slowness: float | None, failed: bool
+    ) -> None:
         endpoint.judge(name, earned, slowness)
         self.earned[name] += GAIN / 4 * (earned - self.earned[name])
+        self.errors += GAIN / 4 * (failed - self.errors)
         if slowness is not None:
             self.slowness += GAIN / 4 * (slowness - self.slowness)
 
@@ -644,6 +651,7 @@
     def __init__(self, idle_ms: float | None) -> None:
         self._closes_ms = idle_ms if idle_ms is not None else float("inf")  # by itself, after this
         self._safe_ms = float("inf")
+        self._fine_ms = 0.0  # what was sent after this long was served lately
         self._strikes = 0
         self._died_ms = 0.0
 
@@ -672,10 +680,15 @@
             return False
         if outcome is Outcome.OK:
             self._strikes = 0
+            self._fine_ms = max(self._fine_ms, idle_ms)
             return False
         unheard = outcome is Outcome.TIMEOUT and attempt.endpoint.answered_ms < attempt.sent_ms
         silent = unheard and alone  # in a crowd silence tells nothing
         self._strikes += silent
+        if outcome is Outcome.RESET and idle_ms <= self._fine_ms:
+            # Danger: connections that break by chance, idle or not, would soon all be closed before use.
+            self._fine_ms *= 1 - GAIN
+            return False
         if (outcome is Outcome.RESET and latency_ms < quick_ms) or (silent and self._strikes >= 2):
             self._safe_ms = min(self._safe_ms, idle_ms / 2)
             self._died_ms = now_ms
@@ -1202,6 +1215,9 @@
         if outcome in CROWDED and not attempt.overdue:
             late = outcome is not Outcome.OK or latency_ms > usual.late_ms()
             pool.answered(late)
+        heard = attempt.endpoint.answered_ms >= attempt.sent_ms
+        # Danger: one that is never answered, at a server quick with the others, looks like a slow server.
+        lost = outcome is Outcome.TIMEOUT and heard and latency_ms > LOST * attempt.endpoint.latency_ms
         if outcome is Outcome.OK:
             slowness = usual.slowness(latency_ms)
             usual.add(latency_ms)
@@ -1210,24 +1226,26 @@
             in_time = self.now_ms <= request.arrived_ms + aim_ms
             self.demand.ended(cls.name, 1.0 if in_time else cls.late_worth)
             earned = 1.0 if on_time else cls.late_worth
-            self.membership.judge(attempt.endpoint, cls.name, earned, slowness)
+            self.membership.judge(attempt.endpoint, cls.name, earned, slowness, False)
             self.membership.answered(self.now_ms, attempt.endpoint, cls.name, latency_ms)
         else:
             # Danger: a server that fails fast looks quick. What an error took says nothing, and another
             # failure never counts as faster than usual.
-            waited = None if outcome in ANSWERED_BADLY else max(1.0, usual.slowness(latency_ms))
-            self.membership.judge(attempt.endpoint, cls.name, 0.0, waited)
+            waited = None if lost or outcome in ANSWERED_BADLY else max(1.0, usual.slowness(latency_ms))
+            self.membership.judge(attempt.endpoint, cls.name, 0.0, waited, True)
         # Danger: a hung server turns nothing away. A time-out tells of it if it has answered none meanwhile.
         # In a crowd it tells nothing: all are slow, and to send elsewhere only crowds the rest.
-        unheard = outcome is Outcome.TIMEOUT and alone and attempt.endpoint.answered_ms < attempt.sent_ms
-        if outcome in (Outcome.OK, Outcome.TIMEOUT) and not unheard:
+        unheard = outcome is Outcome.TIMEOUT and alone and not heard
+        if outcome in (Outcome.OK, Outcome.TIMEOUT) and not unheard and not lost:
             attempt.endpoint.adapt_limit(max(usual.slowness(latency_ms), reported) / self._target())
             return
-        longest_ms = LONGEST_PAUSE * self.longest_deadline_ms
         if outcome in ANSWERED_BADLY:
-            attempt.endpoint.erred(self.now_ms, cls.name, usual.base_ms, longest_ms)
-        else:
+            attempt.endpoint.waiting_since_ms = self.now_ms  # it is not silent
+        longest_ms = LONGEST_PAUSE * self.longest_deadline_ms
+        if unheard and pool.crowdable():  # one of many proxies meets a server too rarely to wait for a second
             attempt.endpoint.failed(self.now_ms, usual.base_ms, longest_ms)
+        else:
+            attempt.endpoint.erred(self.now_ms, cls.name, self.membership.errors, usual.base_ms, longest_ms)
 
     def _on_stream(self, event: StreamStarted) -> None:
         request = self.requests.get(event.request_id)
