Feed both parsers noise and mutated messages, split anywhere

A derandomized hypothesis test for each side: every message ends in an answer, an error or a close, and the next good request is served.

--- /dev/null
+++ b/tests/test_noise.py
@@ -0,0 +1,114 @@
+"""Noise and mutated messages on either side, split anywhere: each ends in an answer, an error or a close,
+and the next good request is served."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cedarcross.proxy import front
+from tests.sockets import UNSAFE_CLASS, Client, Got, Host, facts, http, proxy, run, until
+
+GOOD_REQUEST = Client.worded(None, X_Trace_Id="00", body=b"form")  # type: ignore[arg-type]
+GOOD_ANSWER = http(200, b"body", Endpoint_Load_Metrics="TEXT inflight=1, queue=0, latency_ms=2")
+PIECES = [
+    b"\r\n",
+    b"\r\n\r\n",
+    b"Content-Length: 3\r\n",
+    b"Content-Length: -1\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"Connection: close\r\n",
+    b"\x00",
+    b"zz\r\n",
+]
+
+
+def mutated(good: bytes) -> st.SearchStrategy[bytes]:
+    """The message with parts of it cut out, doubled or replaced."""
+
+    @st.composite
+    def change(draw: st.DrawFn) -> bytes:
+        data = good
+        for _ in range(draw(st.integers(1, 4))):
+            at = draw(st.integers(0, len(data)))
+            upto = draw(st.integers(at, min(len(data), at + 20)))
+            new = draw(st.one_of(st.sampled_from(PIECES), st.binary(max_size=8), st.just(data[at:upto] * 2)))
+            data = data[:at] + new + data[upto:]
+        return data
+
+    return st.one_of(change(), st.binary(max_size=200))
+
+
+def split(data: bytes, cuts: list[int]) -> list[bytes]:
+    at = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    return [data[i:j] for i, j in itertools.pairwise(at)]
+
+
+CUTS = st.lists(st.integers(0, 10_000), max_size=4)
+many = settings(
+    derandomize=True, deadline=None, max_examples=50, suppress_health_check=list(HealthCheck), database=None
+)
+
+
+@many
+@given(st.lists(st.tuples(mutated(GOOD_REQUEST), CUTS), min_size=1, max_size=3))
+def test_whatever_a_client_sends(messages: list[tuple[bytes, list[int]]]) -> None:
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            for data, cuts in messages:
+                client = await Client.connect(p.port)
+                with contextlib.suppress(ConnectionError, RuntimeError):  # closed under it
+                    for piece in split(data, cuts):
+                        client.writer.write(piece)
+                        await asyncio.sleep(0)
+                    await client.reader.read(1)  # of an answer or an error; or a close
+                client.close()
+            await until(lambda: not p.front.connections and not p.core.held)
+            good = await Client.connect(p.port)
+            assert (await good.ask())[0] == 200
+            good.close()
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(front, "PATIENCE_MS", 100.0)
+        patch.setattr(front, "SWEEP_S", 0.02)
+        run(test())
+
+
+@many
+@given(mutated(GOOD_ANSWER), CUTS, st.booleans())
+def test_whatever_a_host_answers(data: bytes, cuts: list[int], closes: bool) -> None:
+    async def answer(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        if len(host.got) > 1:
+            writer.write(http(200, got.headers["x-trace-id"].encode()))
+            return
+        for piece in split(data, cuts):
+            writer.write(piece)
+            await asyncio.sleep(0)
+        if closes:
+            writer.close()
+
+    async def test() -> None:
+        host = Host("h", answer)
+        soon = facts()
+        for cls in soon["categories"]:
+            cls["aim_ms"] = 400.0  # so that a request of 300 ms is not given up before it is sent
+        async with proxy(host, settings=soon) as p:
+            client = await Client.connect(p.port)
+            status, _, _ = await client.ask(UNSAFE_CLASS, expires_ms=300)
+            assert status in (200, 502, 503, 504) and len(host.got) == 1
+            # What came behind a whole answer, but later than the next request, may spoil that one too.
+            for number in range(2):
+                status, _, body = await client.ask(X_Trace_Id=f"next{number}")
+                if status == 200:
+                    break
+            assert (status, body) == (200, b"next%d" % number)
+            await until(lambda: not p.core.held)
+            client.close()
+
+    run(test())
