Close further connections with their answer while many rest

They ask once on a connection, keep it for one to two seconds and ask again on a new one. At fault: Front, which kept every connection open until it was itself short of descriptors. Now an answer closes its connection while a ninth of the descriptors (a third of the clients' third) rest; a close in the answer crosses nothing.

--- a/cedarcross/proxy/__main__.py
+++ b/cedarcross/proxy/__main__.py
@@ -24,6 +24,8 @@
 # Then what is taken is finished: each request by its own deadline. SIGKILL comes 0.7 s after the longest
 # deadline at the soonest, counted from SIGTERM.
 SPARE_S = 0.05
+CLIENTS_PART = 3  # clients hold this part of the descriptors at most
+REST_PART = 3  # and this part of theirs may rest
 SPARE_DESCRIPTORS = 64  # for the loop, discovery, logs and connections about to close
 
 
@@ -41,7 +43,7 @@
             core.told(directory.apply(config.known, restored=True))
         except ValueError as error:
             log.warning("the known list is unusable: %s", error)
-    front = Front(core, settings, directory.usable, to_clients)
+    front = Front(core, settings, directory.usable, to_clients, config.sockets // CLIENTS_PART // REST_PART)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -315,7 +315,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        closing = self._closing or self._front.ending or self._front.crowded()
+        closing = self._closing or self._front.ending or self._front.crowded() or self._front.idle_many()
         last = closing and not self._waiting and not self._unread
         transport.write(answer_bytes(status, headers, body, last))
         if last:
@@ -367,8 +367,11 @@
 class Front:
     """All connections of the application."""
 
-    def __init__(self, core: Core, settings: Settings, ready: Callable[[], bool], most: int) -> None:
+    def __init__(
+        self, core: Core, settings: Settings, ready: Callable[[], bool], most: int, at_rest: int
+    ) -> None:
         self.core = core
+        self._at_rest = at_rest
         self.settings = settings
         self.ready = ready
         self.ending = False
@@ -428,6 +431,11 @@
         ones would be dropped with the requests that they carry."""
         return self._in_use() > self._most
 
+    def idle_many(self) -> bool:
+        """So many connections rest that each further one is closed with its answer. Danger: clients may hold
+        only so many; those that ask once and keep theirs leave the others none to ask on."""
+        return len(self._since[State.RESTING]) >= self._at_rest
+
     def closed(self, connection: ClientConnection) -> None:
         state = self.connections.pop(connection, None)
         if state is not None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -229,7 +229,9 @@
 
 
 @asynccontextmanager
-async def proxy(*hosts: Host, most: int = 100, settings: Json | None = None) -> AsyncIterator[Proxy]:
+async def proxy(
+    *hosts: Host, most: int = 100, at_rest: int = 100, settings: Json | None = None
+) -> AsyncIterator[Proxy]:
     """A proxy in front of these hosts, ready; all is stopped at the end."""
     registry = await Registry().start()
     for host in hosts:
@@ -241,7 +243,7 @@
     core = Core(read, 7, directory, upstream)
     discovery = Discovery(("127.0.0.1", registry.port), True, directory, core.told)
     core.discovery = discovery
-    front = Front(core, read, directory.usable, most)
+    front = Front(core, read, directory.usable, most, at_rest)
     port = await front.listen("127.0.0.1", 0)
     core.start()
     await until(lambda: bool(registry.watches))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -344,6 +344,22 @@
     run(test())
 
 
+def test_while_many_rest_answers_close_their_connection() -> None:
+    # Clients may hold only so many: those that ask once and stay left the others none to ask on.
+    async def test() -> None:
+        async with proxy(Host("h"), at_rest=3) as p:
+            clients = [await Client.connect(p.port) for _ in range(6)]
+            closes = [(await client.ask())[1].get("connection") == "close" for client in clients]
+            assert closes == [False, False, False, True, True, True]
+            clients[0].close()
+            await until(lambda: len(p.front.connections) == 2)
+            assert (await clients[1].ask())[1].get("connection") is None
+            for client in clients:
+                client.close()
+
+    run(test())
+
+
 def test_beyond_every_limit_connections_are_closed_at_once() -> None:
     async def test() -> None:
         async with proxy(Host("h", silent), most=1) as p:
