--- /dev/null
+++ b/tests/test_growth.py
@@ -0,0 +1,67 @@
+"""A long day: hosts, ids, keys and connections that are ever new leave nothing behind."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from cedarcross.balance import Balancer
+from cedarcross.interface import AttemptEnded, Outcome, RequestArrived, Send
+from cedarcross.proxy import front
+from tests.driver import SAFE, SETTINGS, endpoint, full
+from tests.sockets import KEYED_CLASS, UNSAFE_CLASS, Client, Host, entry, proxy, run, until
+
+
+def test_hosts_under_ever_new_names_at_one_address() -> None:
+    async def test() -> None:
+        host = Host("h0")
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+            for number in range(1, 2001):
+                gone = entry(host, "gone")
+                host.name = f"h{number}"
+                p.core.told(p.directory.apply({"index": number, "endpoints": [gone, entry(host)]}))
+                if number % 100 == 0:
+                    assert (await client.ask())[2] == b"from " + host.name.encode()
+            membership = p.core.balancer.membership
+            for table in (p.directory.entries, p.directory.addresses, p.upstream.entries):
+                assert set(table) == {host.name}
+            assert set(membership.endpoints) == {host.name} and len(membership.near.ring) == 1
+            await until(lambda: p.upstream.open == host.open == 1)
+            client.close()
+
+    run(test())
+
+
+def test_requests_and_connections_that_are_ever_new(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "SWEEP_S", 0.01)
+
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            monkeypatch.setattr(p.front, "_id_ms", 1.0)
+            for number in range(1000):
+                client = await Client.connect(p.port)
+                cls = (KEYED_CLASS, UNSAFE_CLASS)[number % 2]
+                assert (await client.ask(cls, key=f"k{number}"))[0] == 200
+                client.close()
+            await until(lambda: not p.front.connections and not p.front._ids)
+            balancer = p.core.balancer
+            await until(lambda: not balancer.requests and not balancer.timers)
+            assert not p.core.held and not any(balancer.held.values()) and not balancer.turns._lines
+            assert not any(p.front._since.values())
+
+    run(test())
+
+
+def test_keys_that_are_ever_new() -> None:
+    ordered = replace(SAFE, name="ordered", in_order=True)
+    safety = replace(SETTINGS.safety, key_rest_ms=0.0)
+    balancer = Balancer(replace(SETTINGS, classes=(ordered,), safety=safety), 1)
+    balancer.handle(0.0, [full(endpoint("s1"))])
+    for number in range(3000):
+        now = 10.0 + number
+        actions = balancer.handle(now, [RequestArrived(number, "ordered", key=f"k{number}")])
+        assert any(isinstance(action, Send) for action in actions)
+        balancer.handle(now + 0.5, [AttemptEnded(number, 0, Outcome.OK, 0.5, answered=True)])
+    assert not balancer.turns._lines and not balancer.requests and not balancer.timers
