Put the daemon together in one class, on a clock and sockets that can be replaced

Need: a rehearsal has to run the daemon's own code, whole, on a clock that does not wait and on sockets in memory; today its parts are wired in __main__, the clock is time.monotonic in messages.py, and the upstream makes its own sockets. Change: proxy/daemon.py wires and ends one daemon (signals and environment stay in __main__), proxy/clock.py is the one clock with a source that can be put in its place, Upstream takes the maker of its sockets, and config.read takes a configuration that is no file.

--- a/cedarcross/proxy/config.py
+++ b/cedarcross/proxy/config.py
@@ -64,6 +64,11 @@
             raw = json.load(file)
     except (OSError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from None
+    return read(raw, env, path, again)
+
+
+def read(raw: object, env: Mapping[str, str], path: str, again: bool = False) -> Config:
+    """What the file at `path` holds, with the environment. Raises ConfigError."""
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not a JSON object")
     try:
--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -32,8 +32,9 @@
     Subscribe,
     TimerFired,
 )
+from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.discovery import Directory, Discovery
-from cedarcross.proxy.messages import ClientRequest, HostAnswer, now_ms
+from cedarcross.proxy.messages import ClientRequest, HostAnswer
 from cedarcross.proxy.upstream import Attempt, Ended, Upstream
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/cedarcross/proxy/daemon.py
@@ -0,0 +1,70 @@
+"""One daemon put together from its parts: start, move to another discovery, and the orderly end.
+
+Signals, the environment and the kind of event loop are the caller's: `__main__` for the program, the
+emulator for a rehearsal, the tests for theirs.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from cedarcross.balance import DEFAULT_DEADLINE_MS
+from cedarcross.proxy.config import Address, Config
+from cedarcross.proxy.core import Core
+from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.front import Front
+from cedarcross.proxy.upstream import OpenSocket, Upstream, open_socket
+
+log = logging.getLogger(__name__)
+
+# After SIGTERM new connections go on coming for up to 0.4 s.
+STILL_COMING_S = 0.5
+# Then what is taken is finished: each request by its own deadline. SIGKILL comes 0.7 s after the longest
+# deadline at the soonest, counted from SIGTERM.
+SPARE_S = 0.05
+CLIENTS_PART = 3  # clients hold this part of the descriptors at most
+REST_PART = 3  # and this part of theirs may rest
+SPARE_DESCRIPTORS = 64  # for the loop, discovery, logs and connections about to close
+
+
+class Daemon:
+    """All of one client proxy but its process. Made and used inside a running event loop."""
+
+    def __init__(self, config: Config, make_socket: OpenSocket = open_socket) -> None:
+        settings = config.settings
+        # In an overload refused clients come back on many connections at once; hosts take few of ours.
+        most = max(12, config.sockets - SPARE_DESCRIPTORS)
+        to_hosts, to_clients = most // 3, most - most // 3
+        at_rest = config.sockets // CLIENTS_PART // REST_PART
+        self._listen_at = config.listen
+        self.settings = settings
+        self.directory = Directory()
+        self.upstream = Upstream(
+            settings.limits, settings.report_fields, settings.safety.drain_grace_ms, to_hosts, make_socket
+        )
+        self.core = Core(settings, config.seed, self.directory, self.upstream)
+        self.discovery = Discovery(config.discovery, settings.subscribe, self.directory, self.core.told)
+        self.core.discovery = self.discovery
+        if config.known is not None:
+            try:
+                self.core.told(self.directory.apply(config.known, restored=True))
+            except ValueError as error:
+                log.warning("the known list is unusable: %s", error)
+        self.front = Front(self.core, settings, self.directory.usable, to_clients, at_rest)
+
+    async def start(self) -> int:
+        """Listen, and ask discovery. Returns the port; raises OSError if it can't be had."""
+        port = await self.front.listen(*self._listen_at)
+        self.core.start()
+        self.discovery.start()
+        return port
+
+    def move(self, discovery: Address) -> None:
+        self.discovery.move(discovery)
+
+    async def end(self, coming_s: float = STILL_COMING_S) -> None:
+        """Serve on for `coming_s` seconds, finish what is taken, and stop."""
+        deadlines = (cls.deadline_ms for cls in self.settings.classes)
+        longest_ms = max(deadlines, default=DEFAULT_DEADLINE_MS)
+        await self.front.end(coming_s, longest_ms / 1000.0 + SPARE_S)
+        self.discovery.stop()
--- a/cedarcross/proxy/discovery.py
+++ b/cedarcross/proxy/discovery.py
@@ -5,15 +5,14 @@
 import asyncio
 import json
 import logging
-import time
 from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
 
 from cedarcross.interface import EndpointsListed, EndpointState, ListedEndpoint, ListKind
+from cedarcross.proxy.clock import unix_offset_ms
 from cedarcross.proxy.config import Address, read_address
-from cedarcross.proxy.messages import now_ms
 
 Json = dict[str, Any]
 log = logging.getLogger(__name__)
@@ -33,7 +32,7 @@
 
     def __init__(self) -> None:
         # Fixed once: the balancer takes another start time for a restart of the host.
-        self._unix_offset_ms = time.time() * 1000.0 - now_ms()
+        self._unix_offset_ms = unix_offset_ms()
         self.entries: dict[str, ListedEndpoint] = {}
         self.addresses: dict[str, Address] = {}
         self.index: int | None = None
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -15,8 +15,9 @@
 
 from cedarcross.balance import DEFAULT_DEADLINE_MS
 from cedarcross.interface import Idempotency, Settings
+from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.core import Core
-from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer, end_to_end, now_ms
+from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer, end_to_end
 
 log = logging.getLogger(__name__)
 
--- a/cedarcross/proxy/messages.py
+++ b/cedarcross/proxy/messages.py
@@ -1,8 +1,7 @@
-"""What the parts of the proxy hand each other: requests, answers, the clock."""
+"""What the parts of the proxy hand each other: requests and answers."""
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass, field
 
 MAX_BODY = 64 * 1024
@@ -26,11 +25,6 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-def now_ms() -> float:
-    """The one clock: monotonic, and finer than the event loop's own."""
-    return time.monotonic() * 1000.0
-
-
 def end_to_end(headers: Headers) -> Headers:
     """The headers that may be passed on, without those that `Connection` names."""
     dropped = set(HOP_BY_HOP)
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -13,8 +13,9 @@
 import httptools
 
 from cedarcross.interface import Limits, Outcome
+from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.config import Address
-from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer, now_ms
+from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +30,14 @@
 REPORT_VALUE = re.compile(rb"([A-Za-z0-9_]+)=([-+0-9.eE]+)")
 
 
+OpenSocket = Callable[[int], socket.socket]
+
+
+def open_socket(family: int) -> socket.socket:
+    """A stream socket that is not connected and never blocks."""
+    return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+
+
 @dataclass(slots=True, eq=False)
 class HostEntry:
     """A host at one address, in one life. Another address or start time is another entry."""
@@ -253,8 +262,14 @@
     """All hosts and the connections to them."""
 
     def __init__(
-        self, limits: Limits, report_fields: tuple[str, ...], drain_grace_ms: float, most: int
+        self,
+        limits: Limits,
+        report_fields: tuple[str, ...],
+        drain_grace_ms: float,
+        most: int,
+        make_socket: OpenSocket = open_socket,
     ) -> None:
+        self._make_socket = make_socket
         self._connect_timeout_s = limits.connect_timeout_ms / 1000.0
         idle_ms = limits.conn_idle_ms
         self._idle_ms = IDLE_PART * idle_ms if idle_ms is not None else float("inf")
@@ -344,7 +359,7 @@
         sock: socket.socket | None = None
         try:
             family = socket.AF_INET6 if ":" in entry.address[0] else socket.AF_INET
-            sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = self._make_socket(family)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self._connect_timeout_s):
                 await loop.sock_connect(sock, entry.address)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -14,7 +14,7 @@
 from cedarcross.balance import Balancer
 from cedarcross.interface import Action, Event
 from cedarcross.proxy import front as module
-from cedarcross.proxy.messages import now_ms
+from cedarcross.proxy.clock import now_ms
 from tests.sockets import (
     KEYED_CLASS,
     UNSAFE_CLASS,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,7 +9,8 @@
 import pytest
 
 from cedarcross.interface import Outcome
-from cedarcross.proxy.messages import ClientRequest, now_ms
+from cedarcross.proxy.clock import now_ms
+from cedarcross.proxy.messages import ClientRequest
 from cedarcross.proxy.upstream import Ended, HostConnection, HostEntry, Upstream
 from cedarcross.settings import read_settings
 from tests.sockets import KEYED_CLASS, Client, Got, Host, Proxy, entry, facts, http, proxy, run, until
