--- /dev/null
+++ b/cedarcross/emulator/__main__.py
@@ -0,0 +1,167 @@
+"""`python -m cedarcross.emulator`: rehearse a scripted day, compare two builds on it, look for bad ones."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+from cedarcross.emulator.compare import compare, compared, read_side
+from cedarcross.emulator.day import Day, load
+from cedarcross.emulator.explore import Finding, explore
+from cedarcross.emulator.ledger import Logical
+from cedarcross.emulator.page import page
+from cedarcross.emulator.report import report, table, window_line
+from cedarcross.emulator.stage import Played, play_real, play_virtual
+from cedarcross.tomlfile import TomlError
+
+KEPT, BROKEN, UNUSABLE = 0, 1, 2
+
+
+def arguments() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="python -m cedarcross.emulator", description=__doc__)
+    verbs = parser.add_subparsers(dest="verb", required=True)
+
+    replay = verbs.add_parser("replay", help="play a day; exit code 1 if a rule broke")
+    replay.add_argument("day", help="the day's TOML file")
+    replay.add_argument("--json", metavar="FILE", help="write the whole report there")
+    replay.add_argument("--html", metavar="FILE", help="draw the day as one page")
+    replay.add_argument("--seed", type=int, help="instead of the day's own")
+    replay.add_argument("--clock", choices=("virtual", "real"), default="virtual")
+    replay.add_argument("--proxies", type=int, help="instead of the day's own number")
+    replay.add_argument("--build", type=Path, help="a checkout whose daemon is run (real clock only)")
+    replay.add_argument("--quiet", action="store_true", help="no progress")
+
+    check = verbs.add_parser("check", help="check a day's file, and say what is wrong with it")
+    check.add_argument("day", nargs="+")
+
+    versus = verbs.add_parser("compare", help="two builds (folders) or settings (TOML files) on one day")
+    versus.add_argument("a")
+    versus.add_argument("b")
+    versus.add_argument("day")
+    versus.add_argument("--seeds", type=int, default=10)
+    versus.add_argument("--clock", choices=("virtual", "real"), default="virtual")
+    versus.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) - 1))
+    versus.add_argument("--json", metavar="FILE")
+
+    search = verbs.add_parser("explore", help="vary a day, and keep what breaks a rule or loses service")
+    search.add_argument("day")
+    search.add_argument("--seeds", type=int, default=200)
+    search.add_argument("--first", type=int, default=0, help="the first seed")
+    search.add_argument("--out", type=Path, default=Path("found"), help="folder for what is found")
+    search.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) - 1))
+    search.add_argument("--whole", action="store_true", help="do not cut findings down")
+    search.add_argument("--json", metavar="FILE")
+    return parser
+
+
+def chosen(args: argparse.Namespace) -> Day:
+    day = load(args.day)
+    if args.seed is not None:
+        day = replace(day, seed=args.seed)
+    if args.proxies is not None:
+        if args.proxies < 1:
+            raise TomlError("--proxies: at least 1")
+        incidents = tuple(
+            replace(each, proxies=tuple(p for p in each.proxies if p < args.proxies))
+            for each in day.incidents
+            if not each.proxies or min(each.proxies) < args.proxies
+        )
+        clients = replace(day.clients, proxies=args.proxies, rates=())
+        day = replace(day, clients=clients, incidents=incidents)
+    return day
+
+
+def do_replay(args: argparse.Namespace) -> int:
+    day = chosen(args)
+    if args.build is not None and args.clock != "real":
+        raise TomlError("--build: another build's daemon runs on the real clock only")
+
+    def progress(passed_s: float, ended: list[Logical]) -> None:
+        print(window_line(passed_s, ended), file=sys.stderr, flush=True)
+
+    shown = None if args.quiet else progress
+    played: Played
+    if args.clock == "virtual":
+        played = play_virtual(day, shown)
+    else:
+        played = asyncio.run(play_real(day, shown, args.build))
+    of = report(played)
+    if args.json:
+        Path(args.json).write_text(of.to_json(), encoding="utf-8")
+    if args.html:
+        Path(args.html).write_text(page(of), encoding="utf-8")
+    print(table(of), end="")
+    return BROKEN if of.broken else KEPT
+
+
+def do_check(args: argparse.Namespace) -> int:
+    worst = KEPT
+    for path in args.day:
+        try:
+            day = load(path)
+            print(f"{path}: {day.name}, {len(day.servers())} servers, {len(day.incidents)} incidents")
+        except TomlError as error:
+            print(error, file=sys.stderr)
+            worst = UNUSABLE
+    return worst
+
+
+def do_compare(args: argparse.Namespace) -> int:
+    day = load(args.day)
+    sides = (read_side(args.a), read_side(args.b))
+    seeds = [day.seed + number for number in range(max(1, args.seeds))]
+    result = compare(
+        sides, day, seeds, args.clock, args.jobs, lambda line: print(line, file=sys.stderr, flush=True)
+    )
+    if args.json:
+        Path(args.json).write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
+    print(compared(result), end="")
+    return BROKEN if any(result["broken"].values()) else KEPT
+
+
+def do_explore(args: argparse.Namespace) -> int:
+    day = load(args.day)
+    served: dict[int, float] = {}
+
+    def told(seed: int, share: float, finding: Finding | None) -> None:
+        served[seed] = share
+        found = f"  {finding.verdict}: {finding.file}" if finding else ""
+        if finding or len(served) % 10 == 0:
+            print(f"{len(served):5d} of {args.seeds}  served {share:.4f}{found}", file=sys.stderr, flush=True)
+
+    findings = explore(day, args.seeds, args.out, args.jobs, told, args.first, not args.whole)
+    shares = sorted(served.values())
+    summary = {
+        "day": day.name,
+        "seeds": args.seeds,
+        "first": args.first,
+        "least_served": shares[0] if shares else None,
+        "median_served": shares[len(shares) // 2] if shares else None,
+        "findings": [
+            {"seed": f.seed, "verdict": str(f.verdict), "served": f.served, "file": f.file, "plays": f.plays}
+            for f in findings
+        ],
+    }
+    if args.json:
+        Path(args.json).write_text(json.dumps(summary, indent=1) + "\n", encoding="utf-8")
+    print(json.dumps(summary, indent=1))
+    return BROKEN if any(f.verdict.rules or f.verdict.crashed for f in findings) else KEPT
+
+
+def main() -> int:
+    args = arguments().parse_args()
+    verbs = {"replay": do_replay, "check": do_check, "compare": do_compare, "explore": do_explore}
+    try:
+        return verbs[args.verb](args)
+    except (TomlError, RuntimeError, OSError) as error:
+        print(error, file=sys.stderr)
+        return UNUSABLE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cedarcross/emulator/day.py
+++ b/cedarcross/emulator/day.py
@@ -568,9 +568,7 @@
     if not file.faults:
         servers = {server.name for server in day.servers()}
         names = {cls.name for cls in classes}
-        day = replace(
-            day, incidents=tuple(read_incident(t, length_s, halls, servers, names) for t in listed)
-        )
+        day = replace(day, incidents=tuple(read_incident(t, length_s, halls, servers, names) for t in listed))
         for number, (t, incident) in enumerate(zip(listed, day.incidents, strict=True)):
             if any(not 0 <= p < day.clients.proxies for p in incident.proxies):
                 t.fault("proxies", f"they are numbered from 0 to {day.clients.proxies - 1}")
--- a/cedarcross/emulator/machine.py
+++ b/cedarcross/emulator/machine.py
@@ -197,8 +197,13 @@
 
     def _observe(self, to_s: float, span_s: float) -> None:
         """Reports and crowding over a span in which nothing begins or ends."""
+        # Of a long span only the last few can still be told.
+        told = int(self._reports.delay_ms / self._reports.period_ms) + 2
+        skipped = max(0, int((to_s - self._next_snapshot_s) / self._period_s) - told)
+        self._next_snapshot_s += skipped * self._period_s
         while self._next_snapshot_s <= to_s:
-            number = self._snapshots[-1].number + 1
+            number = self._snapshots[-1].number + 1 + skipped
+            skipped = 0
             util = min(1.0, len(self.running) / self.kind.cores)
             self._snapshots.append(
                 Snapshot(
--- /dev/null
+++ b/cedarcross/emulator/page.py
@@ -0,0 +1,139 @@
+"""A played day as one self-contained page: service and load over time, server by server, incidents marked."""
+
+from __future__ import annotations
+
+from html import escape
+from itertools import groupby
+
+from cedarcross.emulator.report import OUTCOMES, Report, table
+
+WIDTH, LEFT, ROW, TOP = 1000, 130, 46, 150
+COLOURS = {"served": "#4c9f70", "late": "#e0b040", "refused": "#6d8fc9", "failed": "#c75050"}
+STATES = {
+    "cold": "#bcd7f0",
+    "choked": "#f0c0a0",
+    "frozen": "#c9c9f2",
+    "vanished": "#8f8fa8",
+    "down": "#555560",
+    "fell": "#a03030",
+    "draining": "#e8e0b0",
+}
+STYLE = (
+    "body{font:14px system-ui,sans-serif;margin:24px;color:#222;max-width:1180px}"
+    "svg{width:100%;height:auto}text{font:11px system-ui,sans-serif;fill:#333}"
+    "pre{background:#f6f6f4;padding:12px;overflow:auto}.bad{color:#a02020;font-weight:600}"
+    ".key span{display:inline-block;width:12px;height:12px;margin:0 4px 0 14px;vertical-align:-1px}"
+)
+
+
+def rect(x: float, y: float, width: float, height: float, colour: str, title: str = "") -> str:
+    told = f"<title>{escape(title)}</title>" if title else ""
+    size = f'x="{x:.1f}" y="{y:.1f}" width="{max(width, 0.5):.1f}" height="{height:.1f}"'
+    return f'<rect {size} fill="{colour}">{told}</rect>'
+
+
+def text(x: float, y: float, words: str, anchor: str = "start") -> str:
+    return f'<text x="{x:.1f}" y="{y:.1f}" text-anchor="{anchor}">{escape(words)}</text>'
+
+
+def line(points: list[tuple[float, float]], colour: str) -> str:
+    path = " ".join(f"{x:.1f},{y:.1f}" for x, y in points)
+    return f'<polyline points="{path}" fill="none" stroke="{colour}" stroke-width="1.2"/>'
+
+
+class Page:
+    def __init__(self, of: Report) -> None:
+        self.of = of
+        self.parts: list[str] = []
+        lasted = [s["samples"][-1][0] for s in of.servers.values() if s["samples"]]
+        self.span_s: float = max([of.length_s, *lasted])
+
+    def x(self, at_s: float) -> float:
+        return LEFT + (WIDTH - LEFT - 10) * min(max(at_s, 0.0), self.span_s) / self.span_s
+
+    def service(self) -> None:
+        """What became of requests, by the window in which they were asked for."""
+        windows = self.of.windows
+        sums = [
+            {each: sum(window[name][each] for name in self.of.classes) for each in OUTCOMES}
+            for window in windows
+        ]
+        most = max([1, *(sum(each.values()) for each in sums)])
+        high = TOP - 30
+        for window, count in zip(windows, sums, strict=True):
+            begins = window["from_s"]
+            ends = min(self.of.length_s, begins + self.of.length_s / max(1, len(windows)))
+            y = float(TOP - 10)
+            for each in OUTCOMES:
+                height = high * count[each] / most
+                y -= height
+                title = f"{begins:g} s: {each} {count[each]}"
+                if height:
+                    width = self.x(ends) - self.x(begins) - 1
+                    self.parts.append(rect(self.x(begins), y, width, height, COLOURS[each], title))
+        self.parts.append(text(LEFT - 8, 30, f"{most} requests", "end"))
+        self.parts.append(text(LEFT - 8, TOP - 12, "0", "end"))
+
+    def servers(self) -> int:
+        y = TOP + 14
+        for name, server in self.of.servers.items():
+            samples = server["samples"]
+            floor = y + ROW - 8
+            self.parts.append(text(LEFT - 8, y + 16, name, "end"))
+            most = max([4, *(sample[1] + sample[2] for sample in samples)])
+            self.parts.append(text(LEFT - 8, y + 30, f"{server['kind']}, most {most}", "end"))
+            at = 0
+            for state, group in groupby(samples, key=lambda sample: sample[4]):
+                run = list(group)
+                begins = run[0][0]
+                at += len(run)
+                ends = samples[at][0] if at < len(samples) else run[-1][0]
+                if state in STATES:
+                    title = f"{name} {state}, {begins:g} to {ends:g} s"
+                    width = self.x(ends) - self.x(begins)
+                    self.parts.append(rect(self.x(begins), y, width, ROW - 8, STATES[state], title))
+            high = ROW - 12
+            held = [(self.x(s[0]), floor - high * (s[1] + s[2]) / most) for s in samples]
+            running = [(self.x(s[0]), floor - high * s[1] / most) for s in samples]
+            self.parts += [line(held, "#c75050"), line(running, "#2f6f4f")]
+            self.parts.append(rect(LEFT, floor, WIDTH - LEFT - 10, 0.6, "#bbb"))
+            y += ROW
+        return y
+
+    def marks(self, bottom: int) -> None:
+        """Incidents: a line through everything, and its words where there is room for them."""
+        free = 0.0
+        for at_s, what in self.of.marks:
+            x = self.x(at_s)
+            self.parts.append(
+                f'<line x1="{x:.1f}" x2="{x:.1f}" y1="18" y2="{bottom}" stroke="#9060a0" '
+                f'stroke-width="0.7" stroke-dasharray="3 3"><title>{at_s:g} s: {escape(what)}</title></line>'
+            )
+            if x >= free:
+                self.parts.append(text(x + 2, 14, what))
+                free = x + 7.0 * len(what) + 8
+        for tick in range(0, int(self.span_s) + 1, max(1, round(self.span_s / 12))):
+            self.parts.append(text(self.x(tick), bottom + 14, f"{tick} s", "middle"))
+
+    def draw(self) -> str:
+        self.service()
+        bottom = self.servers()
+        self.marks(bottom)
+        svg = f'<svg viewBox="0 0 {WIDTH} {bottom + 20}">{"".join(self.parts)}</svg>'
+        of = self.of
+        verdict = '<p class="bad">A rule broke.</p>' if of.broken else "<p>All rules were kept.</p>"
+        colours = [*COLOURS.items(), *STATES.items()]
+        key = "".join(f'<span style="background:{colour}"></span>{name}' for name, colour in colours)
+        incidents = "".join(f"<li>{at_s:g} s: {escape(what)}</li>" for at_s, what in of.marks)
+        title = escape(f"{of.day}, seed {of.seed}, {of.clock} clock")
+        return (
+            f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{title}</title>'
+            f"<style>{STYLE}</style><h1>{title}</h1>{verdict}"
+            f"<p>Worth served {of.served_share:.4f}, in the worst window {of.worst_window:.4f}.</p>"
+            f'<p class="key">{key}</p>{svg}<p>Red: what a server held; green: what it ran.</p>'
+            f"<h2>Figures</h2><pre>{escape(table(of))}</pre><h2>Time line</h2><ul>{incidents}</ul></html>\n"
+        )
+
+
+def page(of: Report) -> str:
+    return Page(of).draw()
--- a/cedarcross/emulator/record_server.py
+++ b/cedarcross/emulator/record_server.py
@@ -93,8 +93,10 @@
     def read_on(self) -> None:
         """Read what has come and is due; a server that stands still reads nothing."""
         while self._come and not self._server.still and not self.lost:
-            # Rounding: a timer may fire a hair early.
-            if self._come[0][0] > self._server.now_s + 1e-6:
+            left_s = self._come[0][0] - self._server.now_s
+            if left_s > 1e-6:
+                # A real loop's timer may fire a hair early.
+                self._server.loop.call_later(left_s, self.read_on)
                 return
             _, data = self._come.popleft()
             if self._first_byte_s is None:
@@ -354,7 +356,7 @@
         self, connection: ServerConnection, url: bytes, headers: dict[bytes, bytes], first_s: float
     ) -> None:
         """A request has come whole."""
-        self._catch_up()
+        now_s = self._catch_up()
         id_ = headers.get(b"x-trace-id", b"").decode("latin-1")
         if not id_:
             connection.answer(worded(404))
@@ -364,9 +366,9 @@
             self.stage.ledger.unknown.append(id_)
             connection.answer(worded(400))
             return
-        arrival = Arrival(
-            self.name, self.life, connection.proxy, id_, tried.class_name, tried.key, first_s, self.now_s
-        )
+        first_s = min(first_s, now_s)
+        where = (self.name, self.life, connection.proxy)
+        arrival = Arrival(*where, id_, tried.class_name, tried.key, first_s, now_s)
         self.stage.ledger.arrivals.append(arrival)
         if not url.startswith(b"/" + tried.class_name.encode() + b"/"):
             arrival.fate = Fate.UNUSABLE
@@ -426,9 +428,9 @@
         work_ms += connection.greeting_ms
         connection.greeting_ms = 0.0
         expires = headers.get(b"x-expires-in-ms", b"")
-        job = Job((connection, arrival), work_ms, self.now_s)
+        job = Job((connection, arrival), work_ms, arrival.arrived_s)
         if WHOLE_MS.fullmatch(expires):
-            job.expires_s = self.now_s + int(expires) / 1000.0
+            job.expires_s = arrival.arrived_s + int(expires) / 1000.0
         verdict = self.machine.offer(job)
         if verdict is Verdict.FELL:
             arrival.fate = Fate.TURNED_AWAY
@@ -439,7 +441,7 @@
             connection.answer(worded(503, b"", b"X-Never-Ran: 1", self._report()))
         else:
             connection.job = job
-            self._catch_up()
+            self._catch_up(arrival.arrived_s)  # it may begin at once, and no sooner than it came
             self._set_alarm()
 
     def _report(self) -> bytes:
@@ -449,14 +451,18 @@
 
     # Time
 
-    def _catch_up(self) -> None:
+    def _catch_up(self, now_s: float | None = None) -> float:
+        """Reckon up to now; returns what time that is taken to be."""
+        if now_s is None:
+            now_s = self.now_s
         if not self.up:
-            return
-        happened = self.machine.advance(self.now_s)
+            return now_s
+        happened = self.machine.advance(now_s)
         for job in happened.started:
             self._begun(job)
         for job in happened.ended:
             self._ended(job)
+        return now_s
 
     def _begun(self, job: Job) -> None:
         _, arrival = job.owner
--- a/cedarcross/emulator/stage.py
+++ b/cedarcross/emulator/stage.py
@@ -48,6 +48,7 @@
     address: Address
     up: bool  # it has not been stopped or killed
     life: int
+    failures: list[str]  # how it ended by itself, and what nobody caught
 
     async def start(self) -> None: ...
 
@@ -118,8 +119,11 @@
 
     def __init__(self, stage: Stage, number: int, folder: Path, build: Path | None) -> None:
         self._stage, self._number, self._folder, self._build = stage, number, folder, build
+        # Not where the doors listen: they would be given the port that is found free here.
+        pid = os.getpid()
+        here = f"127.{64 + pid % 64}.{pid // 64 % 256}.{1 + number % 250}"
         with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
+            sock.bind((here, 0))
             self.address: Address = sock.getsockname()
         self.up = False
         self.life = 0
@@ -149,7 +153,9 @@
         if process is self._process:
             self.up = False
             if not self._stopping:
-                self.failures.append(f"proxy {self._number} ended by itself with exit code {code}")
+                said = (self._folder / f"proxy-{self._number}.log").read_text(errors="replace")
+                last = said.strip().splitlines()[-1:] or ["and said nothing"]
+                self.failures.append(f"proxy {self._number} ended by itself, exit code {code}: {last[0]}")
 
     def stop(self) -> None:
         self._signal(signal.SIGTERM)
@@ -453,10 +459,14 @@
         callers = [Caller(self, proxy) for proxy in range(len(self.proxies))]
         for proxy in self.proxies:
             await proxy.start()
-        for caller in callers:
+        try:
             async with asyncio.timeout(READY_S):
-                while not await caller.ready():
-                    await asyncio.sleep(0.05)
+                for caller in callers:
+                    while not await caller.ready():
+                        await asyncio.sleep(0.05)
+        except TimeoutError:
+            why = "; ".join(each for proxy in self.proxies for each in proxy.failures)
+            raise RuntimeError(f"not all proxies were ready within {READY_S:g} s. {why}") from None
         self.start_s = self.loop.time() + LEAD_S
         self.script()
         looking = self.loop.create_task(self._look(progress))
@@ -499,7 +509,7 @@
     def played(self, clock_name: str, end_s: float) -> Played:
         specs = {name: server.spec for name, server in self.servers.items()}
         places = {name: (spec.hall, spec.rack) for name, spec in specs.items()}
-        failures = [each for proxy in self.proxies for each in getattr(proxy, "failures", ())]
+        failures = [each for proxy in self.proxies for each in proxy.failures]
         return Played(
             day=self.day,
             clock=clock_name,
--- a/cedarcross/emulator/virtual.py
+++ b/cedarcross/emulator/virtual.py
@@ -188,7 +188,12 @@
         transport = sock.attach(self, protocol)
         # As in asyncio, it returns once the protocol has been told of its connection.
         made = self.create_future()
-        self.call_soon(lambda: made.done() or made.set_result(None))
+
+        def told() -> None:
+            if not made.done():
+                made.set_result(None)
+
+        self.call_soon(told)
         try:
             await made
         except asyncio.CancelledError:
--- a/cedarcross/proxy/daemon.py
+++ b/cedarcross/proxy/daemon.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 
 from cedarcross.balance import DEFAULT_DEADLINE_MS
 from cedarcross.proxy.config import Address, Config
@@ -27,20 +28,39 @@
 SPARE_DESCRIPTORS = 64  # for the loop, discovery, logs and connections about to close
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """How many connections there may be."""
+
+    to_hosts: int
+    to_clients: int
+    at_rest: int  # of clients, between two requests
+
+
+def shares(sockets: int) -> Shares:
+    """Of so many descriptors. In an overload refused clients come back on many connections at once; hosts
+    take few of ours."""
+    most = max(12, sockets - SPARE_DESCRIPTORS)
+    return Shares(most // 3, most - most // 3, sockets // CLIENTS_PART // REST_PART)
+
+
 class Daemon:
     """All of one client proxy but its process. Made and used inside a running event loop."""
 
-    def __init__(self, config: Config, make_socket: OpenSocket = open_socket) -> None:
+    def __init__(
+        self, config: Config, make_socket: OpenSocket = open_socket, most: Shares | None = None
+    ) -> None:
         settings = config.settings
-        # In an overload refused clients come back on many connections at once; hosts take few of ours.
-        most = max(12, config.sockets - SPARE_DESCRIPTORS)
-        to_hosts, to_clients = most // 3, most - most // 3
-        at_rest = config.sockets // CLIENTS_PART // REST_PART
+        most = most or shares(config.sockets)
         self._listen_at = config.listen
         self.settings = settings
         self.directory = Directory()
         self.upstream = Upstream(
-            settings.limits, settings.report_fields, settings.safety.drain_grace_ms, to_hosts, make_socket
+            settings.limits,
+            settings.report_fields,
+            settings.safety.drain_grace_ms,
+            most.to_hosts,
+            make_socket,
         )
         self.core = Core(settings, config.seed, self.directory, self.upstream)
         self.discovery = Discovery(config.discovery, settings.subscribe, self.directory, self.core.told)
@@ -50,7 +70,7 @@
                 self.core.told(self.directory.apply(config.known, restored=True))
             except ValueError as error:
                 log.warning("the known list is unusable: %s", error)
-        self.front = Front(self.core, settings, self.directory.usable, to_clients, at_rest)
+        self.front = Front(self.core, settings, self.directory.usable, most.to_clients, most.at_rest)
 
     async def start(self) -> int:
         """Listen, and ask discovery. Returns the port; raises OSError if it can't be had."""
--- /dev/null
+++ b/tests/emulator/test_replay.py
@@ -0,0 +1,216 @@
+"""A day replayed gives the same counts, in any process; the program prints, writes, draws and exits."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from cedarcross.emulator.compare import Side, compare, compared, read_side, with_changes
+from cedarcross.emulator.day import Day, load, parse
+from cedarcross.emulator.explore import Verdict, cut_down, explore, judge, play_and_judge, varied
+from cedarcross.emulator.page import page
+from cedarcross.emulator.report import report, table
+from cedarcross.emulator.stage import play_virtual
+from cedarcross.tomlfile import TomlError
+from tests.rigs.days import KEYED, UNSAFE, day, incident, text
+
+ROOT = Path(__file__).parents[2]
+ROUGH = (
+    incident("fail", 0.5, for_s=2.0, servers=["east-1"], share=0.6)
+    + incident("freeze", 1.5, for_s=1.0, servers=["west-1"])
+    + incident("vanish", 2.0, for_s=1.5, servers=["east-2"])
+    + incident("restart", 1.0, for_s=2.0, servers=["west-2"], down_s=0.5)
+    + incident("proxy_kill", 3.0, proxies=[1], down_s=0.3)
+    + incident("proxy_restart", 3.0, proxies=[0], down_s=0.1)
+    + incident("discovery", 2.0, for_s=1.0, mode="reset")
+)
+
+
+def emulator(*words: str | Path, **env: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "cedarcross.emulator", *map(str, words)]
+    return subprocess.run(
+        command, cwd=ROOT, env=os.environ | env, capture_output=True, text=True, timeout=120
+    )
+
+
+def cut(path: Path, length_s: float) -> Day:
+    """The first seconds of a shipped day."""
+    whole = load(path)
+    kept = tuple(each for each in whole.incidents if each.at_s < length_s)
+    return whole.with_changes(length_s=length_s, incidents=kept)
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "examples" / "days").glob("*.toml")), ids=lambda p: p.stem)
+def test_a_shipped_day_replayed_gives_the_same_ledger_and_keeps_the_rules(path: Path) -> None:
+    first, second = (report(play_virtual(cut(path, 12.0))) for _ in range(2))
+    assert first.digest == second.digest and first.counts() == second.counts()
+    assert not first.broken
+    other = report(play_virtual(cut(path, 12.0).with_changes(seed=99)))
+    assert other.digest != first.digest
+
+
+def test_another_process_with_other_hashes_gives_the_same_ledger(tmp_path: Path) -> None:
+    file = tmp_path / "rough.toml"
+    file.write_text(text(ROUGH))
+    told = []
+    for number in range(3):
+        out = tmp_path / f"{number}.json"
+        done = emulator("replay", file, "--json", out, "--quiet", PYTHONHASHSEED=str(number))
+        assert done.returncode == 0, done.stdout + done.stderr
+        told.append(out.read_text())
+    assert told[0] == told[1] == told[2]
+    of = json.loads(told[0])
+    assert of["rules"] == {"lost": 0, "twice": 0, "drain": 0, "push": 0}
+    assert sum(each["asked"] for each in of["classes"].values()) > 150
+    assert {what.split()[0] for _, what in of["marks"]} >= {
+        "fail",
+        "freeze",
+        "vanish",
+        "restart",
+        "discovery",
+    }
+
+
+def test_the_real_clock_serves_a_calm_day_as_the_virtual_one_does(tmp_path: Path) -> None:
+    # Generous aims: what is compared is who is served, not how fast.
+    calm = text(length_s=2.0, clients="proxies = 2\nrate_per_s = 30").replace("aim_ms = 500", "aim_ms = 1200")
+    file = tmp_path / "calm.toml"
+    file.write_text(
+        calm.replace("aim_ms = 800", "aim_ms = 1500").replace("deadline_ms = 1", "deadline_ms = 9")
+    )
+    counts = []
+    for clock in ("virtual", "real"):
+        out = tmp_path / f"{clock}.json"
+        done = emulator("replay", file, "--json", out, "--clock", clock, "--html", tmp_path / "page.html")
+        assert done.returncode == 0, done.stdout + done.stderr
+        assert "in time" in done.stderr  # progress
+        of = json.loads(out.read_text())
+        counts.append({name: each["served"] + each["late"] for name, each in of["classes"].items()})
+        assert not of["crashed"]
+    assert counts[0] == counts[1] and sum(counts[0].values()) > 30
+
+
+def test_exit_codes_and_words_of_the_program(tmp_path: Path) -> None:
+    bad = tmp_path / "bad.toml"
+    bad.write_text(text().replace("cores = 2", "cores = 0"))
+    done = emulator("replay", bad)
+    assert done.returncode == 2 and "kind.cores" in done.stderr and f"{bad}:" in done.stderr
+    assert "Traceback" not in done.stderr
+    assert emulator("replay", tmp_path / "none.toml").returncode == 2
+    assert emulator("check", bad).returncode == 2
+    good = ROOT / "examples" / "days" / "calm-morning.toml"
+    assert emulator("check", good).returncode == 0
+    done = emulator("replay", good, "--build", ROOT)
+    assert done.returncode == 2 and "real clock" in done.stderr
+
+
+def test_a_broken_rule_is_said_and_drawn() -> None:
+    from tests.rigs.relay import play_relay
+
+    of = play_relay(day(length_s=3.0), "sends twice")
+    assert "twice: " in table(of) and "it may have run" in table(of)
+    drawn = page(of)
+    assert "A rule broke." in drawn and drawn.count("<svg") == 1
+    assert "http://" not in drawn and "https://" not in drawn and "<script" not in drawn
+
+
+def test_the_page_marks_incidents_and_escapes_names() -> None:
+    result = play_virtual(day(incidents=incident("freeze", 1.0, for_s=1.0, servers=["east-1"]), length_s=3.0))
+    of = report(result)
+    of.day = "<b>odd</b>"
+    drawn = page(of)
+    assert "freeze east-1" in drawn and "east-1 frozen" in drawn
+    assert "<b>odd" not in drawn and "&lt;b&gt;odd" in drawn
+
+
+def test_the_number_of_proxies_can_be_set(tmp_path: Path) -> None:
+    file, out = tmp_path / "day.toml", tmp_path / "out.json"
+    file.write_text(text(incident("proxy_kill", 1.0, proxies=[1]), clients="proxies = 2\nrate_per_s = 20"))
+    assert emulator("replay", file, "--proxies", "1", "--json", out, "--quiet").returncode == 0
+    of = json.loads(out.read_text())
+    assert of["proxies"] == 1 and not of["marks"]
+
+
+# Looking for bad days
+
+
+def test_variations_come_of_the_seed_and_stay_in_their_ranges() -> None:
+    base = day(incidents=ROUGH)
+    assert varied(base, 3) == varied(base, 3) != varied(base, 4)
+    for seed in range(50):
+        other = varied(base, seed)
+        assert parse(other.to_toml()) == other  # a day like any other: its file replays it
+        assert 0.8 <= other.clients.rate_per_s / base.clients.rate_per_s <= 1.2
+        assert all(0 <= each.at_s <= base.length_s for each in other.incidents)
+        assert len(other.incidents) == len(base.incidents)
+
+
+def test_a_finding_is_cut_down_to_what_matters_and_its_file_replays_it(tmp_path: Path) -> None:
+    # Both servers of one rack fail for long: that alone loses the service.
+    needed = incident("fail", 1.0, for_s=4.0, share=0.95, after_ms=1.0)
+    spare = incident("slow", 2.0, for_s=0.5, servers=["west-1"], times=1.1)
+    base = parse(text(spare + needed + spare, more="[explore]\nleast_served = 0.8\nshift_s = 0.2"))
+    found = explore(base, 2, tmp_path, 1, lambda *_: None)
+    assert [each.seed for each in found] == [0, 1]
+    for each in found:
+        small = load(each.file)
+        assert [i.what for i in small.incidents] == ["fail"]
+        verdict = play_and_judge(small)
+        assert verdict.worse_than(each.verdict) and verdict.low_service and not verdict.rules
+
+
+def test_cutting_down_keeps_the_verdict_and_stops() -> None:
+    base = day(incidents=ROUGH)
+    plays = []
+
+    def play(less: Day) -> Verdict:
+        plays.append(less)
+        return Verdict(("drain",)) if any(i.what == "freeze" for i in less.incidents) else Verdict()
+
+    small, count = cut_down(base, Verdict(("drain",)), play, most=40)
+    assert [i.what for i in small.incidents] == ["freeze"] and count == len(plays) <= 40
+    assert not Verdict().worse_than(Verdict(("drain",)))
+    assert not judge(base, report(play_virtual(day(length_s=2.0))))
+
+
+# Comparing
+
+
+def test_settings_are_compared_on_the_same_seeds(tmp_path: Path) -> None:
+    side = tmp_path / "impatient.toml"
+    side.write_text("[clients]\ntry_share = 0.02\nretries = 0\n")
+    same = tmp_path / "same.toml"
+    same.write_text("")
+    sides = (read_side(str(same)), read_side(str(side)))
+    lines: list[str] = []
+    result = compare(sides, day(length_s=2.0), [1, 2], "virtual", 2, lines.append)
+    assert len(lines) == 4 and result["seeds"] == [1, 2]
+    served = result["figures"]["served_share"]
+    assert served["b"]["mean"] < served["a"]["mean"] and served["b_minus_a"]["most"] < 0
+    assert "served_share" in compared(result)
+    again = compare((sides[0], sides[0]), day(length_s=2.0), [1], "virtual", 2, lines.append)
+    assert again["figures"]["served_share"]["b_minus_a"]["mean"] == 0.0
+
+
+def test_sides_that_cannot_be_compared_are_refused(tmp_path: Path) -> None:
+    (tmp_path / "odd.toml").write_text("seed = 3\n")
+    (tmp_path / "unknown.toml").write_text("[clients]\nnone = 3\n")
+    for text_ in (tmp_path / "odd.toml", tmp_path, tmp_path / "missing.toml"):
+        with pytest.raises(TomlError):
+            read_side(str(text_))
+    unknown = read_side(str(tmp_path / "unknown.toml"))
+    with pytest.raises(TomlError):
+        with_changes(day(), unknown.changes, "unknown")
+    assert with_changes(day(), {"rules": {"max_attempts": 1}}, "x").rules.max_attempts == 1
+    assert read_side(str(ROOT)) == Side(str(ROOT), ROOT, {})
+
+
+def test_classes_are_told_apart_in_the_counts() -> None:
+    of = report(play_virtual(day(length_s=2.0)))
+    assert set(of.counts()) == {KEYED, UNSAFE}
+    assert all(sum(each.values()) == of.classes[name].asked for name, each in of.counts().items())
--- /dev/null
+++ b/tests/emulator/test_troubles.py
@@ -0,0 +1,364 @@
+"""Each trouble does on sockets what the day says, in memory, and the hard ones on real sockets too."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from cedarcross.emulator.doors import MemoryDoor, RealDoor
+from cedarcross.emulator.ledger import Arrival, Fate, Try
+from cedarcross.emulator.network import MemoryNetwork
+from cedarcross.emulator.record_server import RecordServer
+from cedarcross.emulator.report import Report
+from cedarcross.emulator.stage import Played, Stage
+from cedarcross.emulator.virtual import Scheduler
+from tests.rigs.days import KEYED, KIND, UNSAFE, day, incident, played
+
+LIMIT_S = 20.0
+
+
+def arrivals(of: Played, server: str, from_s: float, to_s: float) -> list[Arrival]:
+    return [a for a in of.ledger.arrivals if a.server == server and from_s <= a.arrived_s - of.start_s < to_s]
+
+
+def states(of: Report, server: str, at_s: float) -> str:
+    return next(str(s[4]) for s in reversed(of.servers[server]["samples"]) if s[0] <= at_s)
+
+
+def test_a_calm_day_serves_all_and_keeps_the_rules() -> None:
+    result, of = played()
+    assert not of.broken and not of.crashed
+    for each in of.classes.values():
+        assert each.asked == each.served > 50
+    assert of.fates == {"ran": of.attempts}
+    assert {a.server for a in result.ledger.arrivals} == {"east-1", "east-2", "west-1", "west-2"}
+
+
+def test_a_stated_share_of_requests_fails_for_the_stated_time() -> None:
+    result, of = played(
+        incidents=incident("fail", 2.0, for_s=3.0, servers=["east-1"], share=0.5, classes=[KEYED])
+    )
+    inside = [a for a in arrivals(result, "east-1", 2.0, 5.0) if a.class_name == KEYED]
+    failed = [a for a in inside if a.fate is Fate.ERROR]
+    assert inside and 0.2 < len(failed) / len(inside) < 0.8
+    assert len(failed) == sum(1 for a in result.ledger.arrivals if a.fate is Fate.ERROR)
+    assert not of.broken
+
+
+@pytest.mark.parametrize("mode", ["reset", "silent", "spoilt"])
+def test_answers_that_break_never_come_or_are_spoilt_are_never_served(mode: str) -> None:
+    result, of = played(
+        incidents=incident("fail", 1.0, for_s=4.0, servers=["east-1"], share=0.4, mode=mode),
+        clients="proxies = 2\nrate_per_s = 60",
+    )
+    bad = [a for a in result.ledger.arrivals if a.fate in (Fate.ERROR, Fate.SILENT)]
+    assert len(bad) >= 2 and all(a.server == "east-1" for a in bad)
+    assert not of.broken  # a breach is also what a foreign answer served would be
+    unsafe = [a for a in bad if a.class_name == UNSAFE]
+    assert all(result.ledger.tries[a.id].status != 200 for a in unsafe)
+
+
+def test_a_freeze_works_on_nothing_and_goes_on_after_it() -> None:
+    result, of = played(incidents=incident("freeze", 2.0, for_s=1.0, servers=["east-1"]))
+    inside = [
+        a for a in result.ledger.arrivals if a.ended_s and 2.0 <= a.ended_s - result.start_s < 3.0 - 1e-6
+    ]
+    assert inside and all(a.server != "east-1" for a in inside)
+    assert states(of, "east-1", 2.5) == "frozen" and states(of, "east-1", 3.5) == "up"
+    assert not of.broken
+
+
+def test_a_slow_server_takes_so_many_times_as_long() -> None:
+    result, _ = played(incidents=incident("slow", 0.0, for_s=6.0, servers=["east-1"], times=5.0))
+    for server, times in (("east-1", 5.0), ("east-2", 1.0)):
+        runs = [
+            1000.0 * (a.ended_s - a.started_s) / result.ledger.tries[a.id].work_ms
+            for a in result.ledger.arrivals
+            if a.server == server and a.ended_s and a.started_s and a.fate is Fate.RAN
+        ]
+        assert runs and min(runs) == pytest.approx(times, rel=0.001)
+
+
+def test_costly_requests_come_in_the_stated_share() -> None:
+    result, _ = played(
+        incidents=incident("costly", 2.0, for_s=2.0, classes=[KEYED], share=0.3, times=10.0),
+        clients="proxies = 2\nrate_per_s = 30",
+    )
+
+    def costly(from_s: float, to_s: float) -> float:
+        keyed = [
+            a
+            for a in result.ledger.arrivals
+            if a.class_name == KEYED and a.ended_s and from_s <= a.arrived_s - result.start_s < to_s
+        ]
+        long = [a for a in keyed if (a.ended_s or 0) - (a.started_s or 0) > 0.15]
+        return len(long) / len(keyed)
+
+    assert costly(0.0, 2.0) == 0.0 and 0.1 < costly(2.0, 4.0) < 0.5 and costly(4.0, 6.0) == 0.0
+
+
+def test_a_dead_server_comes_back_cold_under_its_name() -> None:
+    kind = KIND + "cold_from = 0.4\ncold_s = 3\n"
+    result, of = played(
+        incidents=incident("die", 2.0, for_s=2.0, servers=["east-1"]), kind=kind, length_s=10.0
+    )
+    assert not arrivals(result, "east-1", 2.01, 4.0) and arrivals(result, "east-1", 5.0, 10.0)
+    assert states(of, "east-1", 3.0) == "down" and states(of, "east-1", 4.5) == "cold"
+    assert {a.life for a in result.ledger.arrivals if a.server == "east-1"} == {1, 2}
+    assert not of.broken
+
+
+def test_a_drained_server_gets_nothing_new_after_the_grace_and_is_replaced_at_its_address() -> None:
+    result, of = played(
+        incidents=incident("replace", 1.0, for_s=4.0, servers=["west-2"], down_s=0.5), length_s=10.0
+    )
+    # Told about 1.5 s after the drain began; the rule's second after that.
+    assert arrivals(result, "west-2", 0.0, 2.5) and not arrivals(result, "west-2", 3.7, 10.0)
+    assert arrivals(result, "west-2.1", 6.5, 10.0)
+    assert not of.broken
+
+
+def test_a_crowded_server_turns_away_unseen_and_chokes() -> None:
+    kind = KIND.replace("queue_per_core = 10", "queue_per_core = 1")
+    kind += "choke_at = 0.4\nchoke_over_s = 0.5\nchoke_slower = 3\nchoke_most_s = 4\n"
+    result, of = played(
+        clients="proxies = 6\nrate_per_s = 700\nretries = 0",
+        kind=kind,
+        incidents="",
+        length_s=4.0,
+    )
+    assert of.fates.get("turned away", 0) > 0
+    assert any(s[4] == "choked" for server in of.servers.values() for s in server["samples"])
+    assert of.classes[UNSAFE].refused + of.classes[KEYED].refused > 0
+    assert not of.broken
+    turned = [a for a in result.ledger.arrivals if a.fate is Fate.TURNED_AWAY]
+    assert all(a.started_s is None for a in turned)
+
+
+@pytest.mark.parametrize("mode", ["503", "silent", "reset"])
+def test_discovery_is_down_and_its_news_come_late(mode: str) -> None:
+    _, of = played(
+        incidents=incident("discovery", 1.0, for_s=3.0, mode=mode)
+        + incident("restart", 1.5, for_s=3.0, servers=["east-1"], down_s=0.5),
+        length_s=10.0,
+    )
+    assert not of.broken and of.discovery_calls >= 3
+    assert of.served_share > 0.9
+
+
+def test_planned_restarts_lose_nothing_and_kills_break_no_rule() -> None:
+    _, planned = played(incidents=incident("proxy_restart", 2.0, stagger_s=1.5, down_s=0.2))
+    assert not planned.broken and planned.served_share > 0.8
+    _, killed = played(incidents=incident("proxy_kill", 2.0, proxies=[1], down_s=0.2))
+    assert not killed.broken and sum(c.failed for c in killed.classes.values()) > 0
+
+
+# Directly at one server, on both clocks
+
+
+class Raw:
+    """A client that writes what it is told to."""
+
+    def __init__(self, reader: asyncio.StreamReader, transport: Any) -> None:
+        self.reader, self.transport = reader, transport
+
+    @classmethod
+    async def dial(cls, address: tuple[str, int]) -> Raw:
+        reader = asyncio.StreamReader()
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_connection(lambda: asyncio.StreamReaderProtocol(reader), *address)
+        return cls(reader, transport)
+
+    async def answer(self) -> int:
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        length = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
+        await self.reader.readexactly(length)
+        return int(head.split()[1])
+
+
+def request(id_: str, cls: str = UNSAFE) -> bytes:
+    return f"POST /{cls}/1 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: {id_}\r\nContent-Length: 4\r\n\r\nform".encode()
+
+
+Script = Callable[[Stage, RecordServer], Awaitable[None]]
+
+
+def on_both_clocks(script: Script, **given: object) -> None:
+    small = day(**given)
+
+    async def main(stage: Stage) -> None:
+        stage.prepare()
+        server = stage.servers["east-1"]
+        server.start(cold=False)
+        for number in range(8):
+            stage.ledger.tries[f"t{number}"] = Try(f"t{number}", 0, number, UNSAFE, "k", 10.0)
+        try:
+            await script(stage, server)
+        finally:
+            for each in stage.servers.values():
+                each.close()
+
+    scheduler = Scheduler()
+    loop = scheduler.new_loop("world")
+    network = MemoryNetwork(loop)
+    virtual = Stage(small, loop)
+    virtual.door = lambda factory: MemoryDoor(loop, network, factory)
+    scheduler.run(loop, main(virtual), 1000.0)
+
+    async def real() -> None:
+        here = asyncio.get_running_loop()
+        stage = Stage(small, here)
+        stage.door = lambda factory: RealDoor(here, factory, ("127.0.0.1", 0))
+        async with asyncio.timeout(LIMIT_S):
+            await main(stage)
+
+    asyncio.run(real())
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    while not holds():
+        await asyncio.sleep(0.005)
+
+
+def test_a_freeze_keeps_accepted_and_half_written_requests_as_they_are() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        whole, half, idle = [await Raw.dial(server.doors[0].address) for _ in range(3)]
+        stage.ledger.tries["t0"].work_ms = 50.0
+        whole.transport.write(request("t0"))
+        wire = request("t1")
+        half.transport.write(wire[:40])
+        await until(lambda: len(stage.ledger.arrivals) == 1 and len(server.connections) == 3)
+        server.freeze()
+        half.transport.write(wire[40:])  # the system takes it, the server does not read it
+        idle.transport.write(request("t2"))
+        late = await Raw.dial(server.doors[0].address)  # accepted by the system, as ever
+        late.transport.write(request("t3"))
+        reading = [asyncio.ensure_future(each.answer()) for each in (whole, half, idle, late)]
+        # More than the whole request's work, on its own clock: no answer, and nothing closed.
+        await asyncio.sleep(0.2)
+        assert len(stage.ledger.arrivals) == 1 and not any(each.done() for each in reading)
+        assert stage.ledger.arrivals[0].fate is Fate.RUNNING
+        server.thaw(server.life)
+        assert await asyncio.gather(*reading) == [200] * 4
+        assert [a.fate for a in stage.ledger.arrivals] == [Fate.RAN] * 4
+        assert {a.id for a in stage.ledger.arrivals} == {"t0", "t1", "t2", "t3"}
+        for each in (whole, half, idle, late):
+            each.transport.abort()
+
+    on_both_clocks(script)
+
+
+def test_a_vanished_machine_accepts_no_dial_and_says_nothing_until_it_is_back() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        before = await Raw.dial(server.doors[0].address)
+        await until(lambda: len(server.connections) == 1)
+        server.vanish()
+        before.transport.write(request("t0"))
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await Raw.dial(server.doors[0].address)
+        assert not stage.ledger.arrivals
+        server.come_back(server.life)
+        assert await before.answer() == 200  # cut off, and not dead: the connection goes on
+        after = await Raw.dial(server.doors[0].address)
+        after.transport.write(request("t1"))
+        assert await after.answer() == 200
+        for each in (before, after):
+            each.transport.abort()
+
+    on_both_clocks(script)
+
+
+def test_a_dead_process_resets_its_connections_and_refuses_dials() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        client = await Raw.dial(server.doors[0].address)
+        await until(lambda: len(server.connections) == 1)
+        client.transport.write(request("t0"))
+        await until(lambda: len(stage.ledger.arrivals) == 1)
+        server.die()
+        with pytest.raises(ConnectionError):
+            await client.reader.readexactly(1)
+        with pytest.raises(ConnectionRefusedError):
+            await Raw.dial(server.doors[0].address)
+        server.start(cold=False)
+        again = await Raw.dial(server.doors[0].address)
+        again.transport.write(request("t1"))
+        assert await again.answer() == 200
+        again.transport.abort()
+
+    on_both_clocks(script)
+
+
+def test_more_connections_than_a_server_takes_are_turned_away_unseen() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        clients = [await Raw.dial(server.doors[0].address) for _ in range(3)]
+        await until(lambda: len(server.connections) == 3)
+        for number, client in enumerate(clients):
+            client.transport.write(request(f"t{number}"))
+        assert sorted([await client.answer() for client in clients]) == [200, 200, 503]
+        fates = sorted(a.fate.value for a in stage.ledger.arrivals)
+        assert fates == ["ran", "ran", "turned away"]
+        for client in clients:
+            client.transport.abort()
+
+    on_both_clocks(script, kind=KIND + "connections = 2\n")
+
+
+def test_a_rack_drops_a_repeat_whichever_of_its_servers_gets_it() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        other, elsewhere = stage.servers["east-2"], stage.servers["west-1"]
+        for each in (other, elsewhere):
+            each.start(cold=False)
+        for number in range(4):
+            stage.ledger.tries[f"t{number}"] = Try(f"t{number}", 0, number, KEYED, "one-key", 1.0)
+        for number, there in enumerate((server, other, server, elsewhere)):
+            client = await Raw.dial(there.doors[0].address)
+            client.transport.write(request(f"t{number}", KEYED))
+            assert await client.answer() == 200
+            client.transport.abort()
+        fates = [a.fate for a in stage.ledger.arrivals]
+        assert fates == [Fate.RAN, Fate.REPEAT, Fate.REPEAT, Fate.RAN]
+
+    on_both_clocks(script)
+
+
+def test_the_window_of_a_rack_is_exact_on_sockets() -> None:
+    """At 1.199 s after the start of the first run dropped, at 1.201 s run."""
+
+    async def script(stage: Stage, server: RecordServer) -> None:
+        other = stage.servers["east-2"]
+        other.start(cold=False)
+        for number, (after_s, fate) in enumerate([(1.199, Fate.REPEAT), (1.201, Fate.RAN)]):
+            first, second = f"f{number}", f"s{number}"
+            for id_ in (first, second):
+                stage.ledger.tries[id_] = Try(id_, 0, number, KEYED, f"key-{number}", 1.0)
+            clients = [await Raw.dial(each.doors[0].address) for each in (server, other)]
+            await asyncio.sleep(0.1)
+            clients[0].transport.write(request(first, KEYED))
+            assert await clients[0].answer() == 200
+            started_s = stage.ledger.arrivals[-1].started_s or 0.0
+            # One trip over the wire in memory, and the hall's.
+            trips_s = 0.00005 + server.trip_s(0)
+            await asyncio.sleep(started_s + after_s - trips_s - stage.loop.time())
+            clients[1].transport.write(request(second, KEYED))
+            assert await clients[1].answer() == 200
+            arrival = stage.ledger.arrivals[-1]
+            assert (arrival.started_s or 0.0) - started_s == pytest.approx(after_s, abs=1e-6)
+            assert arrival.fate is fate
+
+    small = day()
+    scheduler = Scheduler()
+    loop = scheduler.new_loop("world")
+    network = MemoryNetwork(loop)
+    stage = Stage(small, loop)
+    stage.door = lambda factory: MemoryDoor(loop, network, factory)
+
+    async def main() -> None:
+        stage.prepare()
+        stage.servers["east-1"].start(cold=False)
+        await script(stage, stage.servers["east-1"])
+
+    scheduler.run(loop, main(), 1000.0)
--- /dev/null
+++ b/tests/rigs/days.py
@@ -0,0 +1,85 @@
+"""Small days for tests: one class of each effect, a few servers, written as an operator would."""
+
+from __future__ import annotations
+
+from cedarcross.emulator.day import Day, parse
+from cedarcross.emulator.report import Report, report
+from cedarcross.emulator.stage import Played, play_virtual
+
+KEYED, UNSAFE, SAFE = "extract-issue", "entry-register", "look-up"
+
+CLASSES = f"""
+[[class]]
+name = "{KEYED}"
+share = 0.5
+work_ms = 20
+aim_ms = 500
+deadline_ms = 1200
+effect = "keyed"
+group = "cell"
+window_ms = 1200
+worth = 3
+
+[[class]]
+name = "{UNSAFE}"
+share = 0.5
+work_ms = 30
+aim_ms = 800
+deadline_ms = 1500
+effect = "unsafe"
+worth = 10
+"""
+
+KIND = """
+[[kind]]
+name = "quad"
+cores = 2
+queue_per_core = 10
+"""
+
+SERVERS = """
+[[servers]]
+kind = "quad"
+hall = "east"
+rack = 1
+count = 2
+
+[[servers]]
+kind = "quad"
+hall = "west"
+rack = 2
+count = 2
+"""
+
+
+def text(
+    incidents: str = "",
+    length_s: float = 6.0,
+    clients: str = "proxies = 2\nrate_per_s = 40",
+    kind: str = KIND,
+    servers: str = SERVERS,
+    classes: str = CLASSES,
+    more: str = "",
+) -> str:
+    return (
+        f'name = "small"\nlength_s = {length_s}\nseed = 5\nhalls = ["east", "west"]\nwindow_s = 2\n'
+        f"{more}\n[clients]\n{clients}\n{kind}{classes}{servers}{incidents}"
+    )
+
+
+def day(**given: object) -> Day:
+    return parse(text(**given))  # type: ignore[arg-type]
+
+
+def played(**given: object) -> tuple[Played, Report]:
+    """Such a day, played on the virtual clock."""
+    result = play_virtual(day(**given))
+    return result, report(result)
+
+
+def incident(what: str, at_s: float, **more: object) -> str:
+    lines = [f'what = "{what}"', f"at_s = {at_s}"]
+    for name, value in more.items():
+        told = str(value).replace("'", '"') if not isinstance(value, str) else f'"{value}"'
+        lines.append(f"{name} = {told}")
+    return "\n[[incident]]\n" + "\n".join(lines) + "\n"
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,7 +17,9 @@
 import uvloop
 
 from cedarcross.interface import Settings
+from cedarcross.proxy.config import Config
 from cedarcross.proxy.core import Core
+from cedarcross.proxy.daemon import Daemon, Shares
 from cedarcross.proxy.discovery import Directory, Discovery
 from cedarcross.proxy.front import Front
 from cedarcross.proxy.upstream import Upstream
@@ -216,7 +218,7 @@
 
 @dataclass
 class Proxy:
-    """The proxy's parts, wired as `__main__` wires them."""
+    """The parts of a daemon between these hosts and this registry."""
 
     core: Core
     front: Front
@@ -238,22 +240,28 @@
         if host.server is None:
             await host.start()
     read = read_settings(settings or facts())
-    directory = Directory()
-    upstream = Upstream(read.limits, read.report_fields, read.safety.drain_grace_ms, 100)
-    core = Core(read, 7, directory, upstream)
-    discovery = Discovery(("127.0.0.1", registry.port), True, directory, core.told)
-    core.discovery = discovery
-    front = Front(core, read, directory.usable, most, at_rest)
-    port = await front.listen("127.0.0.1", 0)
-    core.start()
+    config = Config(
+        name="test",
+        listen=("127.0.0.1", 0),
+        discovery=("127.0.0.1", registry.port),
+        seed=7,
+        settings=read,
+        known=None,
+        sockets=1024,
+    )
+    daemon = Daemon(config, most=Shares(100, most, at_rest))
+    directory = daemon.directory
+    port = await daemon.start()
     await until(lambda: bool(registry.watches))
     registry.say(registry.change(*[entry(host) for host in hosts], full=True))
     await until(lambda: len(directory.entries) == len(hosts))
     try:
-        yield Proxy(core, front, upstream, directory, discovery, registry, read, port)
+        yield Proxy(
+            daemon.core, daemon.front, daemon.upstream, directory, daemon.discovery, registry, read, port
+        )
     finally:
-        discovery.stop()
-        await front.end(0.0, 1.0)
+        daemon.discovery.stop()
+        await daemon.front.end(0.0, 1.0)
         for host in hosts:
             host.stop()
         registry.stop()
