Give back the descriptor of a dial called off once, not twice

Seen on the virtual clock: an attempt cancelled while the transport of its new connection is made left the pool's count of open connections one short, for good: the dial's own end and the transport's both counted it. After enough of them the pool would open more connections than its share of the descriptors. At fault: Upstream._dial and Upstream.forget. A connection now releases its descriptor once.

--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -117,8 +117,16 @@
         self.attempt: Attempt | None = None
         self.idle_since_ms = 0.0
         self.lost = False
+        self._counted = True  # among the pool's open descriptors
         self._begin()
 
+    def release(self) -> bool:
+        """Its descriptor is given back: true the first time. Danger: a dial called off while its transport
+        is made ends twice, by the dial's own end and by the transport's, and the pool would count one
+        descriptor fewer than are open, for good."""
+        counted, self._counted = self._counted, False
+        return counted
+
     def _begin(self) -> None:
         self._headers: Headers = []
         self._body: list[bytes] = []
@@ -356,6 +364,7 @@
             return
         self.open += 1
         connection: HostConnection | None = None
+        made: HostConnection | None = None
         sock: socket.socket | None = None
         try:
             family = socket.AF_INET6 if ":" in entry.address[0] else socket.AF_INET
@@ -363,14 +372,15 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self._connect_timeout_s):
                 await loop.sock_connect(sock, entry.address)
-            made = HostConnection(self, entry, sock)
-            await loop.create_connection(lambda: made, sock=sock)
+            dialled = made = HostConnection(self, entry, sock)
+            await loop.create_connection(lambda: dialled, sock=sock)
             connection = made
         except (OSError, TimeoutError):
             attempt.end(Outcome.CONNECT_FAILED)
         finally:
             if connection is None:  # failed, or called off: the descriptor must not stay behind
-                self.open -= 1
+                if made is None or made.release():
+                    self.open -= 1
                 if sock is not None:
                     sock.close()
         if connection is None:
@@ -405,7 +415,8 @@
 
     def forget(self, connection: HostConnection) -> None:
         """Its descriptor is free again."""
-        self.open -= 1
+        if connection.release():
+            self.open -= 1
         if connection in connection.entry.idle:
             connection.entry.idle.remove(connection)
 
