--- /dev/null
+++ b/benchmarks/decision_cost.py
@@ -0,0 +1,83 @@
+"""The cost of a decision over the size of the fleet: one request arrives, is sent and ends.
+
+    python -m benchmarks.decision_cost [--requests 3000] [--rounds 5] [--servers 10 100 1000] [--proxies 4]
+
+The balancer alone, without sockets; the fleet is warm and every server has been met. Sizes take turns within
+each round. Prints JSON with the seed and the machine's cores.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import time
+from statistics import median
+
+from cedarcross.balance import Balancer
+from cedarcross.interface import (
+    AttemptEnded,
+    EndpointsListed,
+    Idempotency,
+    ListedEndpoint,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    RequestClass,
+    Send,
+    Settings,
+)
+
+SEED = 7
+CLASS = RequestClass("safe", aim_ms=500, deadline_ms=2000, idempotency=Idempotency.SAFE)
+
+
+class Probe:
+    def __init__(self, servers: int, proxies: int) -> None:
+        self.balancer = Balancer(Settings(classes=(CLASS,), proxies=proxies), SEED)
+        self.now_ms, self.last_id = 0.0, 0
+        endpoints = tuple(ListedEndpoint(f"s{n:04d}", "a", n % 10) for n in range(servers))
+        self.balancer.handle(0.0, [EndpointsListed(ListKind.FULL, endpoints)])
+
+    def one(self) -> None:
+        self.last_id += 1
+        self.now_ms += 5.0
+        actions = self.balancer.handle(self.now_ms, [RequestArrived(self.last_id, "safe")])
+        assert any(isinstance(action, Send) for action in actions)
+        self.balancer.handle(
+            self.now_ms + 4.0, [AttemptEnded(self.last_id, 0, Outcome.OK, 4.0, answered=True)]
+        )
+
+    def us(self, requests: int) -> float:
+        begun = time.perf_counter()
+        for _ in range(requests):
+            self.one()
+        return 1e6 * (time.perf_counter() - begun) / requests
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--requests", type=int, default=3000)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--servers", type=int, nargs="*", default=[10, 100, 1000])
+    parser.add_argument("--proxies", type=int, default=4)
+    args = parser.parse_args()
+    probes = {servers: Probe(servers, args.proxies) for servers in args.servers}
+    rounds: dict[int, list[float]] = {servers: [] for servers in args.servers}
+    for probe in probes.values():
+        probe.us(300)
+    for _ in range(args.rounds):
+        for servers, probe in probes.items():
+            rounds[servers].append(probe.us(args.requests))
+    found = {
+        str(servers): {"median": round(median(of), 1), "least": round(min(of), 1), "most": round(max(of), 1)}
+        for servers, of in rounds.items()
+    }
+    told = {"seed": SEED, "cores": os.cpu_count(), "proxies": args.proxies, "requests": args.requests}
+    print(json.dumps({**told, "rounds": args.rounds, "us_a_request": found}, indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -17,6 +17,7 @@
 from math import ceil
 from random import Random
 
+from cedarcross.advice import Advisor, Asking
 from cedarcross.interface import (
     Action,
     AttemptEnded,
@@ -108,6 +109,9 @@
 DEAR_LOOKS = 0.02
 HELD_UNTOLD = 2.0
 REDRAWS = 8
+# A pool in use that is larger than this is drawn from, not walked; so many draws are made at most.
+WALKED, DRAWS = 32, 16
+ADVISED_WAIT_MS = 20.0  # an advisor's limits open as time passes: what is held looks again after this
 
 NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 CROWDED = (Outcome.OK, Outcome.TIMEOUT, Outcome.REJECTED)  # these can tell whether servers are crowded
@@ -518,12 +522,14 @@
 class Membership:
     """The list of servers, as far as this proxy has been told."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, advised: bool = False) -> None:
+        self._settings, self._advised = settings, advised
         self._zone = settings.zone
         self._dear = settings.prices.cross_zone >= DEAR_CROSSING
         self.endpoints: dict[str, Endpoint] = {}
         # Danger: crossings that buy nothing. Where they are dear, other zones get what the own can't take.
         self.near, self.far = Pool(settings), Pool(settings)
+        self.halls: dict[str, Pool] = {}  # in their place, where an advisor orders halls
         # Smoothed over all servers: what an unknown one is taken for.
         self.earned = {**{cls.name: 1.0 for cls in settings.classes}, "": 1.0}
         self.slowness, self.latency_ms = 1.0, 0.0
@@ -549,6 +555,11 @@
         ready = [e for e in self.endpoints.values() if e.listed.state is EndpointState.READY]
         self.near.fill([e for e in ready if self.is_near(e)])
         self.far.fill([e for e in ready if not self.is_near(e)])
+        if self._advised:
+            before, self.halls = self.halls, {}
+            for hall in sorted({e.listed.zone for e in ready}):
+                self.halls[hall] = before.get(hall) or Pool(self._settings)
+                self.halls[hall].fill([e for e in ready if e.listed.zone == hall])
 
     def _remove(self, name: str) -> None:
         """Danger: a request that has drawn it, and looks, would still send to it."""
@@ -560,7 +571,8 @@
         return not self._dear or endpoint.listed.zone == self._zone
 
     def pool(self, endpoint: Endpoint) -> Pool:
-        return self.near if self.is_near(endpoint) else self.far
+        usual = self.near if self.is_near(endpoint) else self.far
+        return self.halls.get(endpoint.listed.zone, usual) if self.halls else usual
 
     def answered(self, now_ms: float, endpoint: Endpoint, name: str, latency_ms: float) -> None:
         endpoint.answered(now_ms, name, latency_ms)
@@ -733,6 +745,9 @@
     def class_name(self) -> str:
         return self.cls.name if self.cls else ""
 
+    def asking(self) -> Asking:
+        return Asking(self.cls, tuple(attempt.endpoint.listed.zone for attempt in self.attempts))
+
     def repeatable(self) -> bool:
         return self.cls is not None and self.cls.idempotency is not Idempotency.UNSAFE
 
@@ -809,14 +824,16 @@
 class Balancer:
     """The decisions of one client proxy."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, advisor: Advisor | None = None) -> None:
         self.settings = settings
+        self.advisor = advisor
+        self.waking = 0  # token of the timer for what an advisor's limits hold
         self.random = Random(seed)
         self.budget = RetryBudget()
         self.attempt_budget = AttemptBudget(settings.safety.attempts)
         self.turns = KeyTurns(settings.safety.key_rest_ms)
         self.freed: deque[str] = deque()  # keys whose next request may have its turn
-        self.membership = Membership(settings)
+        self.membership = Membership(settings, advisor is not None)
         self.picker = Picker(self.random, settings.safety)
         self.latencies = {cls.name: ClassLatency(cls) for cls in settings.classes}
         self.requests: dict[int, Request] = {}
@@ -863,12 +880,21 @@
                     raise ValueError(f"not an event: {event!r}")
         self._take_turns()
         self._send_held()
+        if self.advisor is not None:
+            self.actions += [Log(text) for text in self.advisor.changes()]
+            if self.held and not self.waking:
+                self.waking = self._set_timer(ADVISED_WAIT_MS, lambda: setattr(self, "waking", 0))
         return self.actions
 
     # Discovery
 
     def _on_list(self, event: EndpointsListed) -> None:
         self.membership.update(event)
+        for endpoint in self.membership.endpoints.values():
+            if endpoint.drift_ms is None and len(self.membership.endpoints) > WALKED:
+                endpoint.drift_ms = self.now_ms  # drawn from: what is not drawn yet fades all the same
+        if self.advisor is not None:
+            self.advisor.listed(self.now_ms, [e.listed for e in self.membership.endpoints.values()])
         if event.kind is ListKind.FAILED:
             if self.failed_calls == 0:
                 self.actions.append(Log("discovery lost: asking again, the old list stands"))
@@ -902,7 +928,8 @@
         self.attempt_budget.arrived(self.now_ms)
         self.turns.join(request)
         self.demand.arrived(request.class_name, work)
-        self._offer(request, self.membership.near)
+        for pool in self.membership.halls.values() or [self.membership.near]:
+            self._offer(request, pool)
         self._dispatch(request)
 
     def _dispatch(self, request: Request) -> None:
@@ -985,7 +1012,8 @@
 
     def _shed(self, request: Request) -> bool:
         """Is it the gates that keep the request back?"""
-        pools = [p for p in (self.membership.near, self.membership.far) if p.ring]
+        listed = self.membership
+        pools = [p for p in listed.halls.values() or (listed.near, listed.far) if p.ring]
         return bool(pools) and not any(p.gate.admits(request.class_name, request.work) for p in pools)
 
     def _offer(self, request: Request, pool: Pool) -> None:
@@ -994,6 +1022,10 @@
 
     def _try_send(self, request: Request) -> bool:
         """Send, if a server may take the request now: one of the own zone where crossing is dear."""
+        if self.advisor is not None:
+            asking, halls, admits = request.asking(), self.membership.halls, self.advisor.admits
+            order = [h for h in self.advisor.order(self.now_ms, asking) if h in halls] or list(halls)
+            return any(admits(self.now_ms, h, asking) and self._try_pool(request, halls[h]) for h in order)
         near, far = self.membership.near, self.membership.far
         if self._try_pool(request, near):
             return True
@@ -1005,7 +1037,9 @@
     def _try_pool(self, request: Request, pool: Pool) -> bool:
         if not pool.gate.admits(request.class_name, request.work):
             return False
-        allowed = self._allowed(request, pool.in_use(self.now_ms))
+        allowed = self._drawn(request, pool) if pool.size > WALKED else []
+        if len(allowed) < 2:
+            allowed = self._allowed(request, pool.in_use(self.now_ms))
         if not allowed and request.attempts:
             allowed = self._allowed(request, pool.ring)  # a repeat that only some servers drop
         tried = [a.endpoint for a in request.attempts]
@@ -1022,6 +1056,17 @@
         pool.gate.take(request.class_name, request.work)
         return True
 
+    def _drawn(self, request: Request, pool: Pool) -> list[Endpoint]:
+        """Two of a large pool, as likely as by the walk, which decides if so many draws do not find them.
+        Danger: a walk over a thousand servers at each pick costs the proxy its core."""
+        found = [a.endpoint for a in request.attempts]
+        tried = len(found)
+        for _ in range(DRAWS):
+            endpoint = pool.ring[self.random.randrange(pool.size)]
+            if len(found) < tried + 2 and endpoint not in found and self._allowed(request, [endpoint]):
+                found.append(endpoint)
+        return found[tried:]
+
     def _allowed(self, request: Request, endpoints: list[Endpoint]) -> list[Endpoint]:
         name = request.class_name
         return [e for e in endpoints if e.has_room(self.now_ms, name) and self._may_send(request, e)]
@@ -1146,6 +1191,8 @@
         if idle_ms is not None and self.idle.too_long(idle_ms, self.now_ms):
             self.actions.append(CloseIdle(endpoint.listed.name))
             idle_ms = None
+        if self.advisor is not None:
+            self.advisor.sent(self.now_ms, endpoint.listed, request.asking())
         request.attempts.append(Attempt(endpoint, self.now_ms, idle_ms))
         if request.cls and pool.crowdable():
             self._wake_in(request, self.latencies[request.cls.name].late_ms(), self._overdue)
@@ -1180,6 +1227,11 @@
         if event.outcome is not Outcome.NOT_SENT:
             attempt.endpoint.used_ms = None if event.outcome in NO_CONNECTION else self.now_ms
         request.out -= 1
+        if self.advisor is not None and request.cls is not None:
+            slowness = self.latencies[request.cls.name].slowness(event.latency_ms)
+            in_time = event.latency_ms <= self._aim_ms(request.cls, request)
+            where, told = attempt.endpoint.listed, event.report
+            self.advisor.ended(self.now_ms, where, event.outcome, slowness, in_time, told)
         self._learn(request, attempt, event.latency_ms, self._reported_slowness(event.report))
         if event.answered:
             self._finish(request)
--- a/cedarcross/emulator/__main__.py
+++ b/cedarcross/emulator/__main__.py
@@ -17,6 +17,7 @@
 from cedarcross.emulator.page import page
 from cedarcross.emulator.report import report, table, window_line
 from cedarcross.emulator.stage import Played, play_real, play_virtual
+from cedarcross.routing.settings import NOTHING, load_operators
 from cedarcross.tomlfile import TomlError
 
 KEPT, BROKEN, UNUSABLE = 0, 1, 2
@@ -34,6 +35,7 @@
     replay.add_argument("--clock", choices=("virtual", "real"), default="virtual")
     replay.add_argument("--proxies", type=int, help="instead of the day's own number")
     replay.add_argument("--build", type=Path, help="a checkout whose daemon is run (real clock only)")
+    replay.add_argument("--operators", type=Path, help="the proxies' operators' TOML file")
     replay.add_argument("--quiet", action="store_true", help="no progress")
 
     check = verbs.add_parser("check", help="check a day's file, and say what is wrong with it")
@@ -84,12 +86,13 @@
     def progress(passed_s: float, ended: list[Logical]) -> None:
         print(window_line(passed_s, ended), file=sys.stderr, flush=True)
 
+    operators = load_operators(args.operators) if args.operators else NOTHING
     shown = None if args.quiet else progress
     played: Played
     if args.clock == "virtual":
-        played = play_virtual(day, shown)
+        played = play_virtual(day, shown, operators)
     else:
-        played = asyncio.run(play_real(day, shown, args.build))
+        played = asyncio.run(play_real(day, shown, args.build, args.operators))
     of = report(played)
     if args.json:
         Path(args.json).write_text(of.to_json(), encoding="utf-8")
--- a/cedarcross/emulator/stage.py
+++ b/cedarcross/emulator/stage.py
@@ -30,6 +30,7 @@
 from cedarcross.proxy import clock
 from cedarcross.proxy.config import read
 from cedarcross.proxy.daemon import Daemon
+from cedarcross.routing.settings import NOTHING, Operators
 
 Address = tuple[str, int]
 UNIX_S = 1_700_000_000.0  # Unix time at the virtual clock's zero
@@ -85,7 +86,7 @@
 
     def _begin(self, loop: VirtualLoop, life: int) -> None:
         config = read(self._stage.config(self._number, life), {}, f"proxy {self._number}")
-        self.daemon = Daemon(config, self._network.socket)
+        self.daemon = Daemon(config, self._network.socket, operators=self._stage.operators)
         loop.create_task(self.daemon.start())
 
     def stop(self) -> None:
@@ -141,9 +142,12 @@
         env["LB_CONFIG"] = str(file)
         root = self._build or Path(__file__).resolve().parents[2]
         env["PYTHONPATH"] = str(root)
+        words = ["-m", "cedarcross.proxy"]
+        if self._stage.operators_file is not None:
+            words += ["--operators", str(self._stage.operators_file.resolve())]
         with (self._folder / f"proxy-{self._number}.log").open("ab") as out:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "cedarcross.proxy", env=env, cwd=root, stdout=out, stderr=out
+                sys.executable, *words, env=env, cwd=root, stdout=out, stderr=out
             )
         self.up = True
         self._stage.loop.create_task(self._watch(self._process))
@@ -209,6 +213,8 @@
         self.unix_s: Callable[[], float] = lambda: 0.0
         self.costly: list[Trouble] = []
         self.servers: dict[str, RecordServer] = {}
+        self.operators = NOTHING  # what the proxies' operators state, for daemons in this process,
+        self.operators_file: Path | None = None  # and for those in their own
         self.start_s = 0.0
         self.marks: list[tuple[float, str]] = []
         self.fresh: list[Logical] = []  # ended since the last look
@@ -537,7 +543,7 @@
         logger.setLevel(before)
 
 
-def play_virtual(day: Day, progress: Progress | None = None) -> Played:
+def play_virtual(day: Day, progress: Progress | None = None, operators: Operators = NOTHING) -> Played:
     """The whole day on a clock that does not wait: the same day gives the same ledger."""
     scheduler = Scheduler()
     loop = scheduler.new_loop("world")
@@ -552,6 +558,7 @@
 
     with clock.driven(scheduler.time, lambda: UNIX_S + scheduler.now_s), quiet():
         stage = Stage(day, loop)
+        stage.operators = operators
         stage.door = lambda factory: MemoryDoor(loop, network, factory)
         stage.unix_s = lambda: UNIX_S + scheduler.now_s
         end_s = scheduler.run(loop, main(), LONGEST_LIFE_S)
@@ -561,7 +568,12 @@
     return played
 
 
-async def play_real(day: Day, progress: Progress | None = None, build: Path | None = None) -> Played:
+async def play_real(
+    day: Day,
+    progress: Progress | None = None,
+    build: Path | None = None,
+    operators_file: Path | None = None,
+) -> Played:
     """The day on the real clock and loopback sockets, each proxy a process of its own."""
     import time
 
@@ -569,6 +581,7 @@
     stage = Stage(day, loop)
     stage.door = lambda factory: RealDoor(loop, factory, ("127.0.0.1", 0))
     stage.unix_s = time.time
+    stage.operators_file = operators_file
     with tempfile.TemporaryDirectory() as folder:
         stage.proxies += [
             RealProxy(stage, number, Path(folder), build) for number in range(day.clients.proxies)
--- a/cedarcross/proxy/__main__.py
+++ b/cedarcross/proxy/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import logging
 import os
@@ -12,12 +13,14 @@
 
 from cedarcross.proxy.config import Config, ConfigError, load
 from cedarcross.proxy.daemon import Daemon
+from cedarcross.routing.settings import NOTHING, Operators, load_operators
+from cedarcross.tomlfile import TomlError
 
 log = logging.getLogger(__name__)
 
 
-async def run(config: Config) -> None:
-    daemon = Daemon(config)
+async def run(config: Config, operators: Operators) -> None:
+    daemon = Daemon(config, operators=operators)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -40,16 +43,26 @@
     daemon.move(address)
 
 
+def arguments() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="python -m cedarcross.proxy", description=__doc__)
+    parser.add_argument(
+        "--operators", metavar="FILE", help="the operators' TOML file; none: its features are off"
+    )
+    return parser
+
+
 def main() -> int:
+    args = arguments().parse_args()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
-    except ConfigError as error:
+        operators = load_operators(args.operators) if args.operators else NOTHING
+    except (ConfigError, TomlError) as error:
         print(f"cedarcross.proxy: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(config))
+        uvloop.run(run(config, operators))
     except OSError as error:
         print(f"cedarcross.proxy: {error}", file=sys.stderr)
         return 1
--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from cedarcross.advice import Advisor
 from cedarcross.balance import DEFAULT_DEADLINE_MS, Balancer
 from cedarcross.interface import (
     Action,
@@ -74,7 +76,14 @@
 class Core:
     """The balancer and what it has in hand."""
 
-    def __init__(self, settings: Settings, seed: int, directory: Directory, upstream: Upstream) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        directory: Directory,
+        upstream: Upstream,
+        advise: Callable[[], Advisor] | None = None,
+    ) -> None:
         self._settings = settings
         self._seed = seed
         self._directory = directory
@@ -85,9 +94,14 @@
         self._events: list[Event] = []
         self._scheduled = False
         self._life = 0  # of the balancer: timers of an earlier one are void
-        self.balancer = Balancer(settings, seed)
+        self._advise = advise  # makes an advisor for each new life of the balancer; None: none
+        self.balancer = self._new_balancer()
         self.discovery: Discovery | None = None
 
+    def _new_balancer(self) -> Balancer:
+        advisor = self._advise() if self._advise is not None else None
+        return Balancer(self._settings, self._seed + self._life, advisor)
+
     @property
     def held(self) -> int:
         return len(self._held)
@@ -211,7 +225,7 @@
         for held in list(self._held.values()):
             self._end_without_balancer(held, 500)
         self._life += 1
-        self.balancer = Balancer(self._settings, self._seed + self._life)
+        self.balancer = self._new_balancer()
         self._events.clear()  # they are of the old balancer's requests
         # Not at once: decisions that fail whenever they begin would take the whole core with it.
         asyncio.get_running_loop().call_later(ANEW_S, self._restore, self._life)
--- a/cedarcross/proxy/daemon.py
+++ b/cedarcross/proxy/daemon.py
@@ -15,6 +15,8 @@
 from cedarcross.proxy.discovery import Directory, Discovery
 from cedarcross.proxy.front import Front
 from cedarcross.proxy.upstream import OpenSocket, Upstream, open_socket
+from cedarcross.routing.halls import Halls
+from cedarcross.routing.settings import NOTHING, Operators
 
 log = logging.getLogger(__name__)
 
@@ -48,7 +50,11 @@
     """All of one client proxy but its process. Made and used inside a running event loop."""
 
     def __init__(
-        self, config: Config, make_socket: OpenSocket = open_socket, most: Shares | None = None
+        self,
+        config: Config,
+        make_socket: OpenSocket = open_socket,
+        most: Shares | None = None,
+        operators: Operators = NOTHING,
     ) -> None:
         settings = config.settings
         most = most or shares(config.sockets)
@@ -62,7 +68,9 @@
             most.to_hosts,
             make_socket,
         )
-        self.core = Core(settings, config.seed, self.directory, self.upstream)
+        halls = operators.halls
+        advise = None if halls is None else lambda: Halls(halls, settings)
+        self.core = Core(settings, config.seed, self.directory, self.upstream, advise)
         self.discovery = Discovery(config.discovery, settings.subscribe, self.directory, self.core.told)
         self.core.discovery = self.discovery
         if config.known is not None:
--- a/cedarcross/tomlfile.py
+++ b/cedarcross/tomlfile.py
@@ -50,8 +50,9 @@
             raise TomlError(f"{name}: {error}") from None
 
     def fault(self, table: str, number: int, key: str, what: str) -> None:
-        line = self._places.get((table, number, key)) or self._places.get((table, number, "")) or 1
         where = f"{table}.{key}" if table and key else table or key
+        found = self._places.get
+        line = found((table, number, key)) or found((where, 0, "")) or found((table, number, "")) or 1
         self.faults.append((line, f"{self.name}:{line}: {where}: {what}"))
 
     def top(self) -> Table:
@@ -144,7 +145,23 @@
     def table(self, key: str) -> Table:
         """A table that may be left out, with all of its defaults."""
         raw = self._take(key, {}, "a table", lambda v: isinstance(v, dict)) or {}
-        return Table(self.file, key, 0, raw)
+        return Table(self.file, f"{self.name}.{key}" if self.name else key, 0, raw)
+
+    def left(self) -> tuple[str, ...]:
+        """What is left in it, for tables whose keys are names of the operators' choosing."""
+        return tuple(self._raw)
+
+    def lists(self, key: str) -> tuple[tuple[str, ...], ...]:
+        """A list of lists of texts, none of them empty."""
+
+        def fits(value: Any) -> bool:
+            return (
+                isinstance(value, list)
+                and bool(value)
+                and all(isinstance(v, list) and v and all(isinstance(x, str) for x in v) for v in value)
+            )
+
+        return tuple(tuple(each) for each in self._take(key, ..., "a list of lists of texts", fits) or ())
 
     def tables(self, key: str, least: int = 0) -> list[Table]:
         def fits(value: Any) -> bool:
--- /dev/null
+++ b/tests/test_advice.py
@@ -0,0 +1,439 @@
+"""Tiers of halls by themselves and under the balancer: no I/O, the time as an argument."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from itertools import pairwise
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarcross.advice import Asking
+from cedarcross.balance import Balancer
+from cedarcross.interface import (
+    AttemptEnded,
+    EndpointsListed,
+    EndpointState,
+    ListedEndpoint,
+    ListKind,
+    Log,
+    Outcome,
+    RepeatScope,
+    RequestArrived,
+    Send,
+    Settings,
+)
+from cedarcross.routing.halls import FADE_MS, LEAST_PER_S, MOST_EMPTY, Halls, State
+from cedarcross.routing.settings import HallSettings, Operators, parse_operators
+from cedarcross.tomlfile import TomlError
+from tests.driver import KEYED, SAFE, SETTINGS, UNSAFE, Driver, endpoint
+
+HALLS = ("a", "b", "c")
+PLAIN: Settings = replace(
+    SETTINGS, proxies=3, report_fields=("inflight", "queue", "latency_ms"), classes=(SAFE, UNSAFE, KEYED)
+)
+FLEET = tuple(endpoint(f"{hall}{n}", zone=hall) for hall in HALLS for n in range(3))
+ASK = Asking(SAFE)
+# Four run, each takes 40 ms: a hundred a second.
+BUSY = (4.0, 0.0, 40.0)
+
+
+def halls(stated: HallSettings | None = None, plain: Settings = PLAIN) -> Halls:
+    made = Halls(stated or HallSettings(), plain)
+    made.listed(0.0, FLEET)
+    return made
+
+
+def answer(made: Halls, now_ms: float, name: str, slowness: float = 1.0) -> None:
+    made.ended(now_ms, by_name(name), Outcome.OK, slowness, slowness < 2, BUSY)
+
+
+def by_name(name: str) -> ListedEndpoint:
+    return next(e for e in FLEET if e.name == name)
+
+
+def lose(made: Halls, now_ms: float, hall: str, times: int = 12) -> None:
+    for number in range(times):
+        made.ended(now_ms, by_name(f"{hall}{number % 3}"), Outcome.TIMEOUT, 9.0, False, None)
+
+
+def warmed(stated: HallSettings | None = None, plain: Settings = PLAIN) -> Halls:
+    """Every server has been seen to bear about a hundred a second."""
+    made = halls(stated, plain)
+    for step in range(60):
+        for each in FLEET:
+            answer(made, step * 100.0, each.name)
+    return made
+
+
+def state(made: Halls, hall: str) -> State:
+    return made.halls[hall].state
+
+
+# Order
+
+
+def test_tiers_come_in_their_order_and_what_is_not_stated_last() -> None:
+    assert list(halls().order(0.0, ASK)) == ["a", "b", "c"]
+    stated = HallSettings(tiers={"a": (("a",), ("c",))})
+    assert list(halls(stated).order(0.0, ASK)) == ["a", "c", "b"]
+
+
+def test_an_attempt_that_failed_in_a_hall_prefers_another() -> None:
+    assert list(halls().order(0.0, Asking(SAFE, ("a",)))) == ["b", "c", "a"]
+
+
+def test_a_grey_hall_comes_last_and_forgets() -> None:
+    made = warmed()
+    for number in range(200):
+        lost = number % 10 < 3
+        outcome = Outcome.TIMEOUT if lost else Outcome.OK
+        made.ended(7000.0 + number, by_name(f"a{number % 3}"), outcome, 1.0, not lost, None)
+    assert state(made, "a") is State.UP and list(made.order(8000.0, ASK)) == ["b", "c", "a"]
+    for number in range(100):
+        answer(made, 9000.0 + number, "a0")
+    assert next(iter(made.order(9200.0, ASK))) == "a"
+
+
+def test_a_hall_with_bad_servers_keeps_what_the_good_ones_bear() -> None:
+    made = warmed()
+    for name in ("a0", "a1"):
+        for _ in range(2):
+            made.ended(7000.0, by_name(name), Outcome.TIMEOUT, 9.0, False, None)
+    # A third is good: with the factor of 1.4 it keeps 47 of 100.
+    first = [next(iter(made.order(7000.0, ASK))) for _ in range(100)]
+    assert 45 <= first.count("a") <= 48 and first.count("b") == 100 - first.count("a")
+
+
+# Dark, scouts and returns
+
+
+def test_a_silent_hall_goes_dark_and_only_scouts_go_there() -> None:
+    made = warmed()
+    lose(made, 7000.0, "a")
+    assert state(made, "a") is State.DARK
+    assert any("dark" in line and "a" in line for line in made.changes()) and not made.changes()
+    assert list(made.order(7001.0, Asking(UNSAFE))) == ["b", "c"]  # an entry has one try: none is risked
+    assert list(made.order(7001.0, ASK)) == ["a", "b", "c"]
+    made.sent(7001.0, by_name("a0"), ASK)
+    assert list(made.order(7500.0, ASK)) == ["b", "c"]
+    assert list(made.order(8001.0, ASK)) == ["a", "b", "c"]
+
+
+def test_one_bad_server_does_not_make_a_hall_dark() -> None:
+    made = warmed()
+    for number in range(100):
+        made.ended(7000.0 + number, by_name("a0"), Outcome.TIMEOUT, 9.0, False, None)
+        answer(made, 7000.0 + number, "a1")
+    assert state(made, "a") is State.UP
+
+
+def test_a_returning_hall_is_fed_step_by_step() -> None:
+    made = warmed(HallSettings(return_s=10.0, start_share=0.2))
+    before = made.halls["a"].own.per_s
+    lose(made, 7000.0, "a")
+    answer(made, 8000.0, "a0")
+    assert state(made, "a") is State.RETURNING
+    assert made.feed_per_s(8000.0, made.halls["a"]) == pytest.approx(0.2 * before, rel=0.05)
+    shares = []
+    for step in range(120):
+        answer(made, 8000.0 + step * 100.0, f"a{step % 3}")
+        shares.append(made.halls["a"].share)
+    assert all(later >= earlier for earlier, later in pairwise(shares))
+    assert shares[50] == pytest.approx(0.6, abs=0.05) and state(made, "a") is State.UP
+    assert [line for line in made.changes() if line.endswith("is up")]
+
+
+def test_slow_answers_of_a_returning_hall_shrink_what_it_is_fed_and_do_not_make_it_bad() -> None:
+    made = warmed(HallSettings(return_s=10.0))
+    lose(made, 7000.0, "a")
+    answer(made, 8000.0, "a0")
+    for step in range(30):
+        answer(made, 8000.0 + step * 100.0, "a0")
+    grown = made.halls["a"].share
+    for step in range(10):
+        answer(made, 11_000.0 + step * 10.0, "a0", slowness=6.0)
+    # One cut for what was on its way, not ten.
+    assert made.halls["a"].share == pytest.approx(grown / 2, rel=0.1)
+    for step in range(500):
+        answer(made, 11_200.0 + step * 100.0, "a0", slowness=6.0)
+    assert state(made, "a") is State.RETURNING and made.halls["a"].share > 0
+    assert made.halls["a"].lost < 0.01
+
+
+def test_each_flap_makes_the_return_slower_and_smaller() -> None:
+    made = warmed(HallSettings(return_s=10.0))
+    now, fed = 7000.0, []
+    for _ in range(3):
+        lose(made, now, "a")
+        answer(made, now + 1000.0, "a0")
+        fed.append(made.halls["a"].share)
+        now += 2000.0
+    assert fed == pytest.approx([0.2, 0.1, 0.05])
+    later = now + 1000.0 * HallSettings().memory_s + 1
+    lose(made, later, "a")
+    answer(made, later + 1000.0, "a0")
+    assert made.halls["a"].share == pytest.approx(0.2)  # long ago is forgotten
+
+
+def test_discovery_that_says_gone_makes_a_hall_dark_and_its_return_is_fed() -> None:
+    made = warmed()
+    rest = [e for e in FLEET if e.zone != "a"]
+    made.listed(7000.0, rest)
+    assert state(made, "a") is State.DARK and "a" not in made.order(7000.0, ASK)
+    made.listed(9000.0, [*rest, replace(by_name("a0"), started_ms=8000.0)])
+    assert state(made, "a") is State.RETURNING
+    assert made.bearing(9000.0, made.halls["a"]) > 150  # remembered over the loss
+
+
+# Limits
+
+
+def spilled(made: Halls, hall: str, from_ms: float, span_ms: float, asking: Asking = ASK) -> int:
+    """As many as are admitted, asked every 2 ms."""
+    count = 0
+    for step in range(0, int(span_ms), 2):
+        if made.admits(from_ms + step, hall, asking):
+            made.sent(from_ms + step, by_name(f"{hall}0"), asking)
+            count += 1
+    return count
+
+
+@pytest.mark.parametrize("home_lost", [False, True])
+@pytest.mark.parametrize("proxies", [3, 30, 300])
+def test_all_instances_together_keep_the_spill_limit(proxies: int, home_lost: bool) -> None:
+    bearing = 0.0
+    total = 0
+    played = min(proxies, 10)  # all are alike: the others would do the same
+    for ordinal in range(played):
+        made = warmed(plain=replace(PLAIN, proxies=proxies, ordinal=ordinal))
+        if home_lost:
+            lose(made, 6900.0, "a")
+        bearing = made.bearing(7000.0, made.halls["b"])
+        total += spilled(made, "b", 7000.0, 10_000.0)
+    # Those of the lost hall spill, or those of both halls outside: a third of all, or two.
+    spilling = proxies // 3 if home_lost else 2 * proxies // 3
+    total = total * spilling // played
+    assert 200 < bearing < 330  # three servers of about a hundred
+    most = 0.5 * bearing * 10.0
+    # One request each at the start, and the burst of a limit, are what may come on top.
+    assert 0.5 * most < total <= most + 2 * spilling + 0.5 * bearing / 2
+
+
+def test_what_is_worth_less_leaves_room_for_what_is_worth_more() -> None:
+    made = warmed()
+    assert spilled(made, "b", 7000.0, 2000.0, Asking(SAFE)) > 0
+    assert not made.admits(9000.0, "b", Asking(SAFE)) and made.admits(9000.0, "b", Asking(UNSAFE))
+
+
+def test_a_limit_of_zero_spills_nothing_until_little_is_left() -> None:
+    made = warmed(HallSettings(spill={"b": 0.0}, panic=0.4))
+    made.sent(0.0, by_name("b0"), ASK)  # its one request at the start
+    assert not spilled(made, "b", 7000.0, 1000.0)
+    lose(made, 8000.0, "a")
+    lose(made, 8000.0, "c")
+    assert made.panics() and made.admits(8000.0, "b", ASK)
+
+
+def test_with_all_halls_dark_all_are_used() -> None:
+    made = warmed()
+    for hall in HALLS:
+        lose(made, 7000.0, hall)
+    assert made.panics() and set(made.order(7000.0, Asking(UNSAFE))) == set(HALLS)
+    assert all(made.admits(7000.0, hall, Asking(UNSAFE)) for hall in HALLS)
+
+
+def test_weights_of_zero_and_a_server_that_changes_hall() -> None:
+    made = halls()
+    nothing = [replace(e, weight=0.0) for e in FLEET]
+    made.listed(1.0, nothing)
+    assert made.panics() and list(made.order(1.0, ASK)) == ["a", "b", "c"]
+    moved = [replace(e, zone="b") if e.name == "a0" else e for e in FLEET]
+    made.listed(2.0, moved)
+    assert "a0" in made.halls["b"].servers and "a0" not in made.halls["a"].servers
+
+
+def test_halls_and_servers_that_are_ever_new_leave_nothing_behind() -> None:
+    made = halls()
+    for number in range(3000):
+        made.listed(float(number), [endpoint(f"s{number}", zone=f"z{number}")])
+        made.ended(number + 0.5, endpoint(f"s{number}", zone=f"z{number}"), Outcome.ERROR, 1.0, False, None)
+        made.changes()
+    assert len(made.halls) <= 1 + MOST_EMPTY
+    for step in range(200):  # a hall that went dark for want of servers is forgotten as its memory fades
+        made.listed(3000.0 + step * FADE_MS, [endpoint("one", zone="one")])
+    assert set(made.halls) == {"one"}
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["ok", "slow", "lost", "error", "ask", "gone", "back", "wait"]),
+        st.sampled_from([e.name for e in FLEET]),
+        st.floats(0.0, 3000.0),
+    ),
+    max_size=80,
+)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(EVENTS)
+def test_whatever_happens_somebody_may_be_asked_and_limits_hold(
+    events: list[tuple[str, str, float]],
+) -> None:
+    made = warmed()
+    now, listed = 7000.0, {e.name: e for e in FLEET}
+    outcomes = {"ok": Outcome.OK, "slow": Outcome.OK, "lost": Outcome.TIMEOUT, "error": Outcome.ERROR}
+    sent: dict[str, list[float]] = {hall: [] for hall in HALLS}
+    widest: dict[str, float] = dict.fromkeys(HALLS, 0.0)
+    for what, name, wait_ms in events:
+        now += wait_ms
+        if what in outcomes:
+            made.ended(now, by_name(name), outcomes[what], 6.0 if what == "slow" else 1.0, what == "ok", BUSY)
+        elif what in ("gone", "back"):
+            state_ = EndpointState.GONE if what == "gone" else EndpointState.READY
+            listed[name] = replace(by_name(name), state=state_)
+            made.listed(now, list(listed.values()))
+        ready = any(e.state is EndpointState.READY for e in listed.values())
+        for asking in (ASK, Asking(UNSAFE), Asking(KEYED, ("a",))):
+            order = list(made.order(now, asking))
+            assert len(set(order)) == len(order) and set(order) <= set(HALLS)
+            assert order or not ready
+        for hall in made.order(now, ASK):
+            widest[hall] = max(widest[hall], made.spill_per_s(now, made.halls[hall]))
+            if hall != "a" and not made.panics() and made.admits(now, hall, ASK):
+                sent[hall].append(now)
+                made.sent(now, by_name(f"{hall}0"), ASK)
+    for hall in ("b", "c"):
+        span_s = (now - 7000.0) / 1000.0
+        assert len(sent[hall]) <= 1 + widest[hall] * span_s + max(1.0, widest[hall] / 2)
+    view = made.view(now)
+    assert {each.name for each in view} <= set(HALLS)
+    assert all(0 <= each.share <= 1 and each.bearing_per_s >= LEAST_PER_S for each in view)
+
+
+# Under the balancer
+
+
+def driver(stated: HallSettings | None = None, plain: Settings = PLAIN, seed: int = 1) -> Driver:
+    made = Driver(plain, FLEET, seed)
+    made.balancer = Balancer(plain, seed, Halls(stated or HallSettings(), plain))
+    made.tell(EndpointsListed(ListKind.RESTORED, FLEET))
+    for known in made.balancer.membership.endpoints.values():
+        known.limit = 4.0
+    return made
+
+
+def test_requests_stay_at_home_while_it_has_room() -> None:
+    made = driver()
+    made.serve(60)
+    assert {names[0][0] for names in made.sent.values()} == {"a"}
+
+
+def test_a_full_home_spills_and_no_further_than_its_limit() -> None:
+    made = driver(HallSettings(spill_share=0.5))
+    for _ in range(40):
+        made.request("unsafe")
+    made.wait(200.0)
+    went = [names[0][0] for names in made.sent.values()]
+    # Twelve fit at home; the others get one each at the start, and what their limits open meanwhile.
+    assert went.count("a") == 12 and 2 <= went.count("b") + went.count("c") <= 4
+    assert made.balancer.held  # the rest waits, and is refused in its time
+
+
+def test_the_modules_own_guard_stands_last() -> None:
+    made = driver()
+    draining = [replace(e, state=EndpointState.DRAINING) if e.zone == "a" else e for e in FLEET]
+    made.tell(EndpointsListed(ListKind.FULL, tuple(draining)))
+    for _ in range(6):
+        made.request("safe")
+        made.wait(300.0)
+    assert all(name[0] != "a" for names in made.sent.values() for name in names)
+
+
+def test_a_keyed_repeat_stays_in_its_group_whatever_is_preferred() -> None:
+    plain = replace(PLAIN, classes=(replace(KEYED, repeat_scope=RepeatScope.ZONE),))
+    made = driver(plain=plain)
+    request, _ = made.request("keyed")
+    made.end(request, Outcome.ERROR)
+    made.wait(700.0)
+    assert [name[0] for name in made.sent[request]] == ["a", "a"]
+    assert len(set(made.sent[request])) == 2
+
+
+def test_a_safe_repeat_goes_to_another_hall() -> None:
+    made = driver()
+    request, _ = made.request("safe")
+    made.end(request, Outcome.ERROR)
+    made.wait(500.0)
+    assert [name[0] for name in made.sent[request]] == ["a", "b"]
+
+
+def test_what_limits_hold_is_sent_when_they_open() -> None:
+    """Nothing else happens meanwhile: no event but its own timer wakes the balancer."""
+    made = driver()
+    for hall in HALLS:
+        for known in made.balancer.membership.endpoints.values():
+            if known.listed.zone == hall == "a":
+                known.limit = 0.0
+    spent = [made.request("unsafe")[0] for _ in range(3)]  # one each for b and c, and one that waits
+    assert len([r for r in spent if r in made.sent]) == 2
+    made.wait(780.0)
+    assert len([r for r in spent if r in made.sent]) == 2  # 0.5 a second and less: refused in its time
+    assert not made.balancer.held
+
+
+def test_changes_are_logged() -> None:
+    made = driver()
+    made.tell(EndpointsListed(ListKind.FULL, tuple(e for e in FLEET if e.zone != "a")))
+    made.serve(1)
+    made.tell(EndpointsListed(ListKind.FULL, FLEET))
+    assert any(isinstance(action, Log) and "hall a" in action.text for action in made.log)
+
+
+def test_without_an_advisor_nothing_of_halls_is_kept() -> None:
+    made = Balancer(PLAIN, 1)
+    made.handle(0.0, [EndpointsListed(ListKind.FULL, FLEET)])
+    (send,) = [a for a in made.handle(1.0, [RequestArrived(1, "safe")]) if isinstance(a, Send)]
+    made.handle(2.0, [AttemptEnded(1, 0, Outcome.OK, 1.0, answered=True)])
+    assert made.advisor is None and not made.membership.halls and send.endpoint
+
+
+# The operators' file
+
+GOOD = """
+[halls]
+overprovisioning = 1.2
+spill_share = 0.4
+[halls.near]
+a = [["a"], ["b", "c"]]
+[halls.spill]
+c = 0.1
+"""
+
+
+def test_the_operators_file_is_read() -> None:
+    read = parse_operators(GOOD, "operators.toml").halls
+    assert read is not None
+    assert read.tiers == {"a": (("a",), ("b", "c"))}
+    assert (read.spill_of("b"), read.spill_of("c"), read.overprovisioning) == (0.4, 0.1, 1.2)
+    assert parse_operators("", "x") == Operators(None)
+    assert parse_operators("[halls]\n", "x") == Operators(HallSettings())
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "what"),
+    [
+        ("spill_share = 0.4", "spill_share = 4", 4, "halls.spill_share: 4 is not a number from 0 to 1"),
+        ("spill_share = 0.4", "spil_share = 0.4", 4, "halls.spil_share: not a known key"),
+        ('a = [["a"], ["b", "c"]]', 'a = [["b"], ["a"]]', 6, "halls.near.a: the hall itself"),
+        ('a = [["a"], ["b", "c"]]', 'a = ["a"]', 6, "halls.near.a: "),
+        ('a = [["a"], ["b", "c"]]', 'a = [["a"], ["a"]]', 6, "halls.near.a: a hall stands in it twice"),
+        ("c = 0.1", "c = -1", 8, "halls.spill.c: -1 is not"),
+        ("[halls]", "[hall]", 2, "hall: not a known key"),
+    ],
+)
+def test_a_bad_operators_file_is_refused_with_line_and_key(old: str, new: str, line: int, what: str) -> None:
+    with pytest.raises(TomlError) as caught:
+        parse_operators(GOOD.replace(old, new), "o.toml")
+    assert f"o.toml:{line}: {what}" in str(caught.value)
