--- a/cedarcross/routing/halls.py
+++ b/cedarcross/routing/halls.py
@@ -27,10 +27,12 @@
 
 BUCKET_MS = 2000.0  # what was served in time is counted by spans of this length
 FADE_MS = 120_000.0  # a remembered bearing halves in this time
+SPILL_FADE_MS = 5000.0  # what spilled into a hall is forgotten by half in this time
 BURST_MS = 500.0  # a limit lets through so much of itself at once, or one request
 LEAST_PER_S = 0.5  # where nothing has been measured
 RESERVED = 0.3  # of a limit, that only the worthier classes may use
 GAIN = 0.05  # of the shares of lost requests
+SLOW_GAIN = 0.1  # of a returning hall's slowness: about the last ten answers count
 UNANSWERED = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CONNECT_FAILED)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT, Outcome.UNUSABLE)
 MOST_EMPTY = 16  # halls with no server whose bearing is remembered
@@ -130,9 +132,12 @@
     share: float = 1.0  # of its bearing that it is fed while it returns
     grew_ms: float = 0.0
     held_until_ms: float = 0.0  # it does not grow before
+    slowness: float = 1.0  # smoothed, while it returns
     scouted_ms: float = float("-inf")
     darks: list[float] = field(default_factory=list)  # when it went dark, lately
-    spilled: int = 0  # requests of other halls that it took from here
+    spilled: int = 0  # requests of other halls that it took from here,
+    spilling: float = 0.0  # and lately, by its weight
+    spilled_ms: float = 0.0
     bearing: float = 0.0  # of the whole hall by the second, remembered while it is dark
 
     def ready_weight(self) -> float:
@@ -214,7 +219,8 @@
         if hall.name != self._home:
             hall.spill.take()
             hall.spilled += 1
-            self._spilled_ms = now_ms
+            hall.spilling = self._lately(now_ms, hall) + 1.0 / max(hall.ready_weight(), 0.001)
+            hall.spilled_ms = self._spilled_ms = now_ms
         if hall.state is State.RETURNING:
             hall.feed.take()
         elif hall.state is State.DARK:
@@ -281,6 +287,7 @@
         hall.lost = 0.0
         hall.share = self._stated.start_share / self._flaps(now_ms, hall)
         hall.grew_ms = hall.held_until_ms = now_ms
+        hall.slowness = 1.0
         hall.feed = Limit()
         self._changes.append(f"hall {hall.name} returns, fed {hall.share:.2f} of what it bore: {reason}")
 
@@ -293,8 +300,11 @@
         """Grow while answers come in good time. Slow answers of a hall that returns say that it is cold, not
         that it is bad: it gets less, and stays."""
         span_ms = 1000.0 * self._stated.return_s * self._flaps(now_ms, hall)
-        if slowness > self._stated.slow:
+        # Smoothed: one answer in ten takes so long for no other cause than its own work.
+        hall.slowness += SLOW_GAIN * (slowness - hall.slowness)
+        if hall.slowness > self._stated.slow:
             if now_ms >= hall.held_until_ms:
+                hall.slowness = 1.0
                 hall.share = max(
                     self._stated.start_share / LONGEST_RETURN, hall.share * self._stated.back_off
                 )
@@ -360,7 +370,11 @@
         """Halls by preference: tiers as stated, but grey halls and those where the request failed last."""
         if self.panics():
             return [name for tier in self._tiers for name in tier if name in self.halls]
-        tiers = [[n for n in tier if n in self.halls] for tier in self._tiers]
+        # Within a tier, who got the least of this instance's spill lately comes first.
+        tiers = [
+            sorted((n for n in tier if n in self.halls), key=lambda n: self._lately(now_ms, self.halls[n]))
+            for tier in self._tiers
+        ]
         if self._leaves_home():
             tiers = tiers[1:] + tiers[:1]
         ranked = [name for tier in tiers for name in tier]
@@ -376,6 +390,11 @@
 
         return scouts + sorted(ranked, key=last)
 
+    @staticmethod
+    def _lately(now_ms: float, hall: Hall) -> float:
+        lately: float = hall.spilling * 0.5 ** ((now_ms - hall.spilled_ms) / SPILL_FADE_MS)
+        return lately
+
     def _leaves_home(self) -> bool:
         """A tier keeps what its good servers bear, by the overprovisioning; the rest goes on, evenly."""
         home = self.halls.get(self._home)
