--- a/benchmarks/hall_loss.py
+++ b/benchmarks/hall_loss.py
@@ -1,11 +1,12 @@
 """Losing a hall, at 80% of what the others bear: without tiers, with them, and with strict priority.
 
-    python -m benchmarks.hall_loss [--seeds 3] [--operators deploy/operators.toml]
+    python -m benchmarks.hall_loss [--seeds 3] [--proxies 6] [--ways none tiers strict] [--operators FILE]
 
 The same day (`examples/days/hall-lost-busy.toml`) on the virtual clock for every seed and way. By way: the
 share of entries and extracts served in time in the 30 s after the loss and the 60 s after the return; the
-highest load on a returning server over what it bears warm, by spans of a push window; attempts that left the
-proxy's own hall, by request; how long after the return the hall took its even share again. Prints JSON.
+highest load on a returning server over what it bears warm, by spans of a push window; the highest load from
+other halls on a surviving one while the hall was away, over what that one bears; attempts outside the proxy's
+own hall, by request; how long after the return the hall took its even share again. Prints JSON.
 """
 
 from __future__ import annotations
@@ -75,6 +76,21 @@
     return round(highest, 3), longest_s
 
 
+def spill(played: Played, lost: str, from_s: float, to_s: float) -> float:
+    """The highest load from other halls on a surviving one, over what it bears, by push windows."""
+    window_s = played.day.rules.fall_ms / 1000.0
+    bears: dict[str, float] = {}
+    for spec in played.specs.values():
+        bears[spec.hall] = bears.get(spec.hall, 0.0) + 1000.0 * spec.kind.cores * spec.kind.speed * window_s
+    sums: dict[tuple[str, int], float] = {}
+    for arrival in played.ledger.arrivals:
+        at_s, hall = arrival.arrived_s - played.start_s, played.specs[arrival.server].hall
+        if hall not in (lost, played.day.hall_of(arrival.proxy)) and from_s <= at_s < to_s:
+            place = hall, int((at_s - from_s) / window_s)
+            sums[place] = sums.get(place, 0.0) + played.ledger.tries[arrival.id].work_ms
+    return round(max((work / bears[hall] for (hall, _), work in sums.items()), default=0.0), 3)
+
+
 def full_use_s(played: Played, hall: str, from_s: float) -> float | None:
     """When, after the return, the hall first took 0.9 of its share before the loss in a span of 5 s."""
     loss_s = min(i.at_s for i in played.day.incidents)
@@ -93,9 +109,10 @@
     return None
 
 
-def one(job: tuple[str, int, str]) -> dict[str, Any]:
-    way, seed, file = job
+def one(job: tuple[str, int, str, int]) -> dict[str, Any]:
+    way, seed, file, proxies = job
     day = replace(load(DAY), seed=seed)
+    day = replace(day, clients=replace(day.clients, proxies=proxies))
     lost = day.incidents[0]
     played = play_virtual(day, operators=operators(way, file))
     back_s = lost.at_s + lost.for_s
@@ -105,6 +122,7 @@
         "after_loss": service(played, lost.at_s, LOSS_S),
         "after_return": service(played, back_s, RETURN_S),
         "highest_load": highest,
+        "highest_spill": spill(played, lost.hall, lost.at_s, back_s),
         "longest_over_s": over_s,
         "crossings_a_request": round(crossed / max(1, len(played.ledger.tries)), 4),
         "full_use_s": full_use_s(played, lost.hall, back_s),
@@ -123,6 +141,7 @@
         "after_loss": {c: spread([r["after_loss"][c] for r in results]) for c in classes},
         "after_return": {c: spread([r["after_return"][c] for r in results]) for c in classes},
         "highest_load": spread([r["highest_load"] for r in results]),
+        "highest_spill": spread([r["highest_spill"] for r in results]),
         "longest_over_s": max(r["longest_over_s"] for r in results),
         "crossings_a_request": spread([r["crossings_a_request"] for r in results]),
         "full_use_s": [r["full_use_s"] for r in results],
@@ -135,18 +154,20 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--operators", default=str(ROOT / "deploy" / "operators.toml"))
+    parser.add_argument("--proxies", type=int, default=load(DAY).clients.proxies)
+    parser.add_argument("--ways", nargs="*", default=["none", "tiers", "strict"])
     parser.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) - 1))
     args = parser.parse_args()
     first = load(DAY).seed
     seeds = [first + number for number in range(args.seeds)]
-    ways = ("none", "tiers", "strict")
-    work = [(way, seed, args.operators) for way in ways for seed in seeds]
+    work = [(way, seed, args.operators, args.proxies) for way in args.ways for seed in seeds]
     with ProcessPoolExecutor(args.jobs) as pool:
         results = list(pool.map(one, work))
     found = {
-        way: gathered([r for (w, _, _), r in zip(work, results, strict=True) if w == way]) for way in ways
+        way: gathered([r for (w, *_), r in zip(work, results, strict=True) if w == way]) for way in args.ways
     }
-    print(json.dumps({"day": DAY.stem, "seeds": seeds, "cores": os.cpu_count(), "ways": found}, indent=1))
+    told = {"day": DAY.stem, "seeds": seeds, "cores": os.cpu_count(), "proxies": args.proxies}
+    print(json.dumps({**told, "ways": found}, indent=1))
     return 0
 
 
--- a/cedarcross/adapter.py
+++ b/cedarcross/adapter.py
@@ -2,11 +2,12 @@
 
 Reads one batch a line from standard input, writes one reply a line. An unreadable line ends it with
 one line on standard error and exit code 1; a crash of a balancer is reported there and on the wire, and
-ends it too.
+ends it too. `--operators FILE` gives the balancers the advice that the daemon's have with the same file.
 """
 
 from __future__ import annotations
 
+import argparse
 import json
 import sys
 import traceback
@@ -40,7 +41,10 @@
     Subscribe,
     TimerFired,
 )
+from cedarcross.routing.halls import Halls
+from cedarcross.routing.settings import NOTHING, Operators, load_operators
 from cedarcross.settings import Json, read_settings
+from cedarcross.tomlfile import TomlError
 
 OUTCOMES = {
     100: Outcome.OK,
@@ -252,8 +256,9 @@
 class Host:
     """The instances of one process; they share nothing."""
 
-    def __init__(self) -> None:
+    def __init__(self, operators: Operators = NOTHING) -> None:
         self._balancers: dict[str, Balancer] = {}
+        self._halls = operators.halls
 
     def play(self, who: str, now_ms: float, steps: list[Step]) -> list[Json]:
         """One instance's part of a batch. What a life killed within it would have done is void."""
@@ -263,7 +268,8 @@
                 events.clear()
                 self._balancers.pop(who, None)
                 if isinstance(step, Begin):
-                    self._balancers[who] = Balancer(step.settings, step.seed)
+                    advisor = None if self._halls is None else Halls(self._halls, step.settings)
+                    self._balancers[who] = Balancer(step.settings, step.seed, advisor)
             elif who not in self._balancers:
                 raise WireError(f"event for {who!r}, which has not begun")
             else:
@@ -290,9 +296,9 @@
     return groups, False
 
 
-def serve(lines: Iterable[str], out: TextIO, err: TextIO) -> int:
+def serve(lines: Iterable[str], out: TextIO, err: TextIO, operators: Operators = NOTHING) -> int:
     """Answer every line until input ends; the exit code."""
-    reader, host = Reader(err), Host()
+    reader, host = Reader(err), Host(operators)
     for line in lines:
         try:
             batch = reader.read(line)
@@ -308,7 +314,15 @@
 
 
 def main() -> int:
-    return serve(sys.stdin, sys.stdout, sys.stderr)
+    parser = argparse.ArgumentParser(prog="python -m cedarcross.adapter", description=__doc__)
+    parser.add_argument("--operators", metavar="FILE", help="the operators' TOML file; none: no advice")
+    args = parser.parse_args()
+    try:
+        operators = load_operators(args.operators) if args.operators else NOTHING
+    except TomlError as error:
+        print(f"adapter: {error}", file=sys.stderr)
+        return 2
+    return serve(sys.stdin, sys.stdout, sys.stderr, operators)
 
 
 if __name__ == "__main__":
--- a/cedarcross/routing/halls.py
+++ b/cedarcross/routing/halls.py
@@ -128,6 +128,7 @@
     spill: Limit = field(default_factory=lambda: Limit(1.0))
     feed: Limit = field(default_factory=Limit)
     unanswered: int = 0  # in a row, over all of its servers
+    silent: bool = False  # it went dark for want of answers, not of servers
     lost: float = 0.0  # smoothed share of attempts without an answer
     share: float = 1.0  # of its bearing that it is fed while it returns
     grew_ms: float = 0.0
@@ -191,18 +192,22 @@
         for hall in self.halls.values():
             for name in [n for n in hall.servers if n not in entries or entries[n].zone != hall.name]:
                 del hall.servers[name]
+        started: set[str] = set()
         for entry in endpoints:
             hall = self.halls.setdefault(entry.zone, Hall(entry.zone, since_ms=now_ms))
             known = hall.servers.get(entry.name)
             if known is None or known.listed.started_ms != entry.started_ms:
                 hall.servers[entry.name] = Server(entry)
+                # A process that started since is not the one that fell silent.
+                if (entry.started_ms or float("-inf")) > hall.since_ms:
+                    started.add(hall.name)
             else:
                 known.listed = entry
         for hall in self.halls.values():
             if not hall.ready_weight():
                 if hall.state is not State.DARK and (hall.servers or hall.name in had):
                     self._go_dark(now_ms, hall, "no server of it is listed as ready")
-            elif hall.state is State.DARK and not hall.reason.startswith("unanswered"):
+            elif hall.state is State.DARK and (hall.name in started or not hall.silent):
                 self._return(now_ms, hall, "discovery lists servers of it again")
         # What a hall bore is kept over its loss, but not for ever, nor of ever more halls.
         empty = sorted((h for h in self.halls.values() if not h.servers), key=lambda h: h.since_ms)
@@ -252,6 +257,7 @@
                 and (failing or hall.unanswered >= 3 * self._stated.dark_after)
             ):
                 self._go_dark(now_ms, hall, f"unanswered {hall.unanswered} times in a row")
+                hall.silent = True
             return
         hall.unanswered = server.unanswered = 0
         if report is not None:
@@ -276,6 +282,7 @@
     # States
 
     def _go_dark(self, now_ms: float, hall: Hall, reason: str) -> None:
+        hall.silent = False
         hall.bearing = max(hall.bearing, self.bearing(now_ms, hall))
         hall.state, hall.since_ms, hall.reason = State.DARK, now_ms, reason
         hall.darks = [at for at in hall.darks if at > now_ms - 1000.0 * self._stated.memory_s] + [now_ms]
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,6 +7,7 @@
 import os
 import subprocess
 import sys
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -14,6 +15,7 @@
 from cedarcross import balance
 from cedarcross.adapter import serve
 from cedarcross.interface import AttemptLimit, Limits, Objective, Prices, Reports, Tenant
+from cedarcross.routing.settings import Operators, parse_operators
 from cedarcross.settings import read_settings
 
 Json = dict[str, Any]
@@ -195,3 +197,34 @@
     apart = [play([line for line in day() if who in line], "77")[who] for who in together]
     assert list(together.values()) == apart
     assert all(len(cmds) > 30 for cmds in apart)
+
+
+def test_with_the_operators_file_its_balancers_keep_to_their_hall(tmp_path: Path) -> None:
+    members = [
+        {"host": f"{hall}{n}", "lifecycle": "ready", "locality": hall}
+        for hall in ("a", "b")
+        for n in range(3)
+    ]
+    own: Json = {"begin": {"seed": 7, "facts": {**FACTS, "zone": "b"}}}
+    sync: Json = {"register": {"list": 0, "members": members}}
+    lines = [batch(1, 10, "proxy_0", own, sync, SYNC)]
+    for n in range(3):
+        lines.append(batch(2 + n, 20.0 + n, "proxy_0", request(n)))
+    operators = parse_operators("[halls]\n", "o.toml")
+
+    def hosts(given: Operators) -> list[str]:
+        out = io.StringIO()
+        assert serve([line + "\n" for line in lines], out, io.StringIO(), given) == 0
+        cmds = [
+            c for reply in out.getvalue().splitlines() for g in json.loads(reply)["groups"] for c in g["cmds"]
+        ]
+        return [c["try"]["host"] for c in cmds if "try" in c]
+
+    assert {host[0] for host in hosts(operators)} == {"b"}
+    assert {host[0] for host in hosts(Operators())} == {"a", "b"}
+    bad = tmp_path / "bad.toml"
+    bad.write_text("[halls]\npanic = 2\n")
+    done = subprocess.run(
+        [sys.executable, "-m", "cedarcross.adapter", "--operators", str(bad)], capture_output=True, text=True
+    )
+    assert done.returncode == 2 and f"{bad}:2: halls.panic" in done.stderr
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -254,6 +254,44 @@
     assert "a0" in made.halls["b"].servers and "a0" not in made.halls["a"].servers
 
 
+def test_a_hall_with_one_server_goes_and_comes_like_any_other() -> None:
+    one = [e for e in FLEET if e.zone != "a" or e.name == "a0"]
+    made = halls()
+    made.listed(1.0, one)
+    for step in range(60):
+        for each in one:
+            answer(made, 10.0 + step * 100.0, each.name)
+    for _ in range(4):
+        made.ended(7000.0, by_name("a0"), Outcome.TIMEOUT, 9.0, False, None)
+    assert state(made, "a") is State.DARK and list(made.order(7001.0, Asking(UNSAFE))) == ["b", "c"]
+    answer(made, 8000.0, "a0")
+    assert state(made, "a") is State.RETURNING
+
+
+def test_entries_that_arrive_late_leave_a_hall_dark_until_it_answers_or_is_listed_anew() -> None:
+    """Silent first, then listed as gone, then listed again: each piece of news comes after the fact."""
+    made = warmed()
+    lose(made, 7000.0, "a")
+    rest = [e for e in FLEET if e.zone != "a"]
+    made.listed(12_000.0, rest)  # discovery has noticed
+    assert state(made, "a") is State.DARK
+    assert list(made.order(13_000.0, ASK)) == ["b", "c"]  # nobody there to be scouted
+    made.listed(20_000.0, [*rest, by_name("a0")])  # one of its entries, before the others
+    assert state(made, "a") is State.DARK  # listed is not answered: it went dark for silence
+    assert list(made.order(20_000.0, ASK)) == ["a", "b", "c"]
+    answer(made, 20_100.0, "a0")
+    assert state(made, "a") is State.RETURNING
+    made.listed(21_000.0, [*rest, by_name("a0"), by_name("a1"), by_name("a2")])
+    assert state(made, "a") is State.RETURNING and made.halls["a"].share < 0.3
+
+
+def test_a_hall_listed_anew_in_new_processes_returns_without_a_scout() -> None:
+    made = warmed()
+    lose(made, 7000.0, "a")
+    made.listed(20_000.0, [replace(e, started_ms=19_000.0) if e.zone == "a" else e for e in FLEET])
+    assert state(made, "a") is State.RETURNING
+
+
 def test_halls_and_servers_that_are_ever_new_leave_nothing_behind() -> None:
     made = halls()
     for number in range(3000):
