Send entries elsewhere from the first sign of a lost hall; let operators state the reserve

Change: two unanswered attempts in a row put a hall last for unsafe classes; halls.reserved states what of each limit is left to the worthiest classes.

--- a/cedarcross/routing/halls.py
+++ b/cedarcross/routing/halls.py
@@ -30,7 +30,7 @@
 SPILL_FADE_MS = 5000.0  # what spilled into a hall is forgotten by half in this time
 BURST_MS = 500.0  # a limit lets through so much of itself at once, or one request
 LEAST_PER_S = 0.5  # where nothing has been measured
-RESERVED = 0.3  # of a limit, that only the worthier classes may use
+FIRST_SIGN = 2  # attempts unanswered in a row
 GAIN = 0.05  # of the shares of lost requests
 SLOW_GAIN = 0.1  # of a returning hall's slowness: about the last ten answers count
 UNANSWERED = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CONNECT_FAILED)
@@ -391,9 +391,14 @@
         ranked = [n for n in ranked if self.halls[n].state is not State.DARK]
         least_lost = min((self.halls[n].lost for n in ranked), default=0.0)
 
+        # An entry has one try. From the first sign on it goes where answers come, while requests that may
+        # be repeated find out.
+        careful = asking.cls is not None and asking.cls.idempotency is Idempotency.UNSAFE and self._repeatable
+
         def last(name: str) -> tuple[bool, bool]:
-            grey = self.halls[name].lost > self._stated.grey + least_lost
-            return name in asking.failed_in, grey
+            hall = self.halls[name]
+            grey = hall.lost > self._stated.grey + least_lost
+            return name in asking.failed_in, grey or (careful and hall.unanswered >= FIRST_SIGN)
 
         return scouts + sorted(ranked, key=last)
 
@@ -439,8 +444,8 @@
         level = limit.level(now_ms, per_s)
         worth = asking.cls.worth if asking.cls is not None else 0.0
         # What is worth less leaves some of a limit to what is worth more.
-        reserved = RESERVED * limit.most(per_s) if worth < self._most_worth and limit.most(per_s) > 2 else 0.0
-        return level >= 1.0 + reserved
+        least = worth < self._most_worth and limit.most(per_s) > 2
+        return level >= 1.0 + (self._stated.reserved * limit.most(per_s) if least else 0.0)
 
     # For others to read
 
--- a/cedarcross/routing/settings.py
+++ b/cedarcross/routing/settings.py
@@ -16,6 +16,7 @@
     overprovisioning: float = 1.4
     spill_share: float = 0.5
     spill: dict[str, float] = field(default_factory=dict)
+    reserved: float = 0.3
     panic: float = 0.3
     start_share: float = 0.2
     return_s: float = 15.0
@@ -53,6 +54,7 @@
         overprovisioning=t.number_("overprovisioning", usual.overprovisioning, 1.0, 10.0),
         spill_share=t.number_("spill_share", usual.spill_share, 0.0, 1.0),
         spill={hall: spill.number_(hall, least=0.0, most=1.0) for hall in spill.left()},
+        reserved=t.number_("reserved", usual.reserved, 0.0, 0.9),
         panic=t.number_("panic", usual.panic, 0.0, 1.0),
         start_share=t.number_("start_share", usual.start_share, 0.01, 1.0),
         return_s=t.number_("return_s", usual.return_s, 0.1, 3600.0),
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -121,6 +121,16 @@
     assert list(made.order(8001.0, ASK)) == ["a", "b", "c"]
 
 
+def test_from_the_first_sign_entries_go_elsewhere_and_extracts_find_out() -> None:
+    made = warmed()
+    lose(made, 7000.0, "a", times=2)
+    assert state(made, "a") is State.UP
+    assert list(made.order(7001.0, Asking(UNSAFE))) == ["b", "c", "a"]
+    assert next(iter(made.order(7001.0, ASK))) == "a"
+    answer(made, 7002.0, "a0")
+    assert next(iter(made.order(7003.0, Asking(UNSAFE)))) == "a"
+
+
 def test_one_bad_server_does_not_make_a_hall_dark() -> None:
     made = warmed()
     for number in range(100):
