--- a/tests/emulator/test_troubles.py
+++ b/tests/emulator/test_troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -362,3 +363,82 @@
         await script(stage, stage.servers["east-1"])
 
     scheduler.run(loop, main(), 1000.0)
+
+
+def test_a_new_connection_costs_its_price_and_only_once() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        client = await Raw.dial(server.doors[0].address)
+        for number in range(2):
+            client.transport.write(request(f"t{number}"))
+            assert await client.answer() == 200
+        client.transport.abort()
+        first, second = ((a.ended_s or 0.0) - (a.started_s or 0.0) for a in stage.ledger.arrivals)
+        assert 1000.0 * first == pytest.approx(10.0 + 25.0, abs=0.5)
+        assert 1000.0 * second == pytest.approx(10.0, abs=0.5)
+
+    on_both_clocks(script, kind=KIND + "handshake_ms = 25\n")
+
+
+def test_halls_lie_apart_by_their_delay() -> None:
+    result, of = played(more="", clients="proxies = 2\nrate_per_s = 40\n[net]\nsame_ms = 1\ncross_ms = 60")
+    trips: dict[bool, list[float]] = {True: [], False: []}
+    for arrival in result.ledger.arrivals:
+        same = result.specs[arrival.server].hall == result.day.hall_of(arrival.proxy)
+        trips[same].append(1000.0 * (arrival.arrived_s - result.ledger.tries[arrival.id].sent_s))
+    assert 1.0 <= min(trips[True]) < 5.0 and 60.0 <= min(trips[False]) < 65.0
+    assert not of.broken
+
+
+def test_reports_are_noisy_by_their_number_and_not_by_the_asking() -> None:
+    from cedarcross.emulator.day import Kind, Reports
+    from cedarcross.emulator.machine import Job, Machine
+
+    machine = Machine("m", Kind("k", cores=4), Reports(period_ms=100.0, delay_ms=0.0, noise=0.2), 0.0, seed=3)
+    for _ in range(4):
+        machine.offer(Job(None, 1e9, 0.0))
+    told = []
+    for step in range(1, 60):
+        machine.advance(step * 0.1)
+        told.append(machine.report(step * 0.1)["inflight"])
+        assert machine.report(step * 0.1)["inflight"] == told[-1]
+    seen = {value for value in told if value}
+    assert len(seen) > 30 and 2.0 < min(seen) < 4.0 < max(seen) < 8.0
+
+
+def test_discovery_gives_whole_lists_changes_and_an_empty_line_when_there_are_none() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        registry = stage.registry
+        registry.put("east-1", "ready", 0)
+        registry.start()
+
+        async def lines(path: str) -> tuple[Raw, str]:
+            client = await Raw.dial(registry.doors[0].address)
+            client.transport.write(f"GET {path} HTTP/1.1\r\nHost: d\r\n\r\n".encode())
+            return client, (await client.reader.readuntil(b"\r\n\r\n")).decode()
+
+        async def chunk(client: Raw) -> bytes:
+            size = int(await client.reader.readuntil(b"\r\n"), 16)
+            return (await client.reader.readexactly(size + 2))[:-2]
+
+        whole, head = await lines("/v1/endpoints")
+        body = json.loads(await whole.reader.readexactly(int(head.split("Content-Length: ")[1].split()[0])))
+        (entry,) = body["endpoints"]
+        host, port = server.doors[0].address
+        assert body["snapshot"] and entry["name"] == "east-1" and entry["address"] == f"{host}:{port}"
+        nothing, _ = await lines(f"/v1/endpoints?follow=1&since={body['index']}")
+        assert await chunk(nothing) == b"\n"
+        registry.put("east-1", "draining", 0)
+        change = json.loads(await chunk(nothing))
+        assert not change["snapshot"] and change["endpoints"][0]["status"] == "draining"
+        gap, _ = await lines("/v1/endpoints?follow=1&since=999")  # of another service, or another life
+        assert json.loads(await chunk(gap))["snapshot"]
+        _, missing = await lines("/v1/none")
+        assert " 404 " in missing
+        told = [(t.server, t.status) for t in stage.ledger.told if t.proxy == 0]
+        assert ("east-1", "draining") in told
+        registry.go_down("503")
+        _, down = await lines("/v1/endpoints")
+        assert " 503 " in down
+        registry.close()
+
+    on_both_clocks(script)
