--- a/tests/emulator/test_halls.py
+++ b/tests/emulator/test_halls.py
@@ -120,7 +120,7 @@
         for at_s in (4.0, 16.0, 28.0)
     ]
     assert hit[0] > 0 and hit[2] <= hit[1] <= hit[0]
-    # It carries less each time it goes: returns grow longer. Without that memory it carried 0.83 of the first.
+    # It carries less each time it goes: returns grow longer. Without that memory it carried 0.83.
     exposed = [taken(result, "west", at_s - 4.0, at_s) for at_s in (4.0, 28.0)]
     assert exposed[1] < 0.7 * exposed[0]
 
