--- /dev/null
+++ b/cedarcross/limits/duty.py
@@ -0,0 +1,182 @@
+"""How much one of very many instances may have under way, where its part is less than one request. No I/O, no
+clock.
+
+With 300 instances before servers that bear a hundred requests at once, one request under way at each is
+three times too much, and whatever an instance hears of that it hears too late: reports are a second old,
+and servers choke within one. What bounds a crowd without being told of it is the time that requests spend
+under way. So the figure here is a *duty*: how many requests may be under way in the mean. It pays in
+request-milliseconds, each request under way spends one a millisecond, and the next goes out once that is
+paid for. Where answers take longer, fewer go out, at once and by itself; whatever the load, all instances
+together have no more under way in the mean than the sum of their duties, but for what they saved, what the
+worthiest class borrows and what is forgiven of a long debt. It is the pacing of windows below one packet of
+Swift (Kumar et al., SIGCOMM 2020) made to keep a mean in place of a gap, so that a request which comes after
+a rest finds its place paid for.
+
+Servers' reports move the duty slowly: up while it binds and they have room, down in proportion to the
+excess of their stretch (`crowding.py`). From what it lets out, and what was asked for, follows the share of
+the work that is taken on at all.
+"""
+
+from __future__ import annotations
+
+from math import exp
+
+from cedarcross.limits.window import (
+    CUT_AT_ONCE,
+    HUSH_MS,
+    IDLE,
+    LONGEST_CUT_S,
+    LONGEST_SPAN_S,
+    STALE_ROUND_MS,
+    UNUSED_S,
+    WindowSettings,
+)
+
+SPARSE = 0.8  # of the target: each instance hears of a crowd late
+SAVED_ROUNDS = 3.0  # so many usual requests' time is saved up at most,
+FIRST_ROUNDS = 0.0  # and so many are there at the start: a fleet that starts at once begins with one each
+DEBT_ROUNDS = 3.0  # danger: one request at a hung server must not keep the instance from the others for long
+SPARE_ROUNDS = 1.0  # saved up, from which on the share refuses nobody
+LEFT_PART = 0.5  # of its usual time a request under way still takes, in the mean
+CUT_PART = 0.4  # of the stated cut
+# While servers were seen idle for so long, and not crowded meanwhile, nothing is refused for a duty's sake.
+# Danger: a report is up to a second old, and says that servers idle in the moment in which a fleet starts.
+IDLE_FOR_MS = 2000.0
+NOT_IDLE = 1.35
+OPEN_AT_ONCE = 2.0  # requests under way that then need not be paid for
+GROWTH_PART = 1.0  # of the duty begun with, by which it grows in a second
+IDLE_GROWTH = 1.0  # of itself, while servers idle
+KEPT = 2.0  # so many times what is used stays
+MEMORY_MS = 4000.0  # over which what is asked for and let out is smoothed
+SURE_ASKED = 6.0  # requests asked for within the memory before a share is reckoned from them
+OVER = 1.0  # taken on beyond what the duty lets out: it binds, and so is seen to be too small
+BORROWED_ROUNDS = 1.0  # by which the worthiest class goes ahead of what is paid for
+
+
+class Duty:
+    """Of a sparse instance. It stands where others have a `Window`."""
+
+    def __init__(self, stated: WindowSettings, first: float) -> None:
+        """`first`: the requests under way in the mean that it begins with, and keeps when little is asked."""
+        self._stated = stated
+        self._first = first
+        self.size = first
+        self.under_way = 0
+        self.round_ms = 0.0
+        self._credit_ms = FIRST_ROUNDS * STALE_ROUND_MS
+        self._at_ms: float | None = None
+        self._told_ms = 0.0
+        self._bound = False
+        self._idle_since_ms: float | None = None
+        self._asked = self._asked_work = self._sent_work = self._spent_ms = 0.0  # within the memory
+
+    @property
+    def usual_ms(self) -> float:
+        """What a request takes under way, as far as is known."""
+        return self.round_ms or STALE_ROUND_MS
+
+    @property
+    def leaves_per_ms(self) -> float:
+        """Requests that go out."""
+        return self.size / self.usual_ms
+
+    @property
+    def used(self) -> float:
+        """Requests under way in the mean, lately."""
+        return self._spent_ms / MEMORY_MS
+
+    @property
+    def share(self) -> float:
+        """Of the work offered, what may be taken on: what went out of it, scaled to the whole duty."""
+        if self._open() or self._asked < SURE_ASKED or not self._asked_work or not self._spent_ms:
+            return 1.0
+        return min(1.0, OVER * self.size / self.used * self._sent_work / self._asked_work)
+
+    def beyond(self, ahead: float) -> float:
+        """How far the worthier may go beyond it. `ahead`: 1 for the worthiest class, 0 for the last."""
+        return ahead * BORROWED_ROUNDS
+
+    def _open(self) -> bool:
+        """Have servers idled for long?"""
+        since_ms = self._idle_since_ms
+        return since_ms is not None and self._told_ms - since_ms >= IDLE_FOR_MS
+
+    def _advance(self, now_ms: float) -> None:
+        span_ms = 0.0 if self._at_ms is None else max(0.0, now_ms - self._at_ms)
+        self._at_ms = now_ms
+        if not span_ms:
+            return
+        earned = self._credit_ms + (self.size - self.under_way) * span_ms
+        most = max(SAVED_ROUNDS, self.size) * self.usual_ms
+        self._credit_ms = max(-DEBT_ROUNDS * self.usual_ms, min(most, earned))
+        left = exp(-span_ms / MEMORY_MS)
+        self._spent_ms = self._spent_ms * left + self.under_way * MEMORY_MS * (1.0 - left)
+        self._asked *= left
+        self._asked_work *= left
+        self._sent_work *= left
+
+    def asked(self, now_ms: float, work: float) -> None:
+        self._advance(now_ms)
+        self._asked += 1.0
+        self._asked_work += work
+
+    def full(self, now_ms: float, more: float = 0.0) -> bool:
+        """Is there no room for one more? `more`: usual requests' times beyond what is paid for."""
+        self._advance(now_ms)
+        promised_ms = (LEFT_PART * self.under_way - more) * self.usual_ms
+        full = self._credit_ms < promised_ms
+        if full and self._open():
+            full = self.under_way >= OPEN_AT_ONCE + more
+        self._bound = self._bound or full
+        return full
+
+    def spare(self, now_ms: float) -> bool:
+        """Is so much saved up that a request can be let out whatever its class is worth? Danger: a share is
+        reckoned from few requests, and would refuse work while the duty is not used."""
+        self._advance(now_ms)
+        return self._credit_ms >= (SPARE_ROUNDS + LEFT_PART * self.under_way) * self.usual_ms
+
+    def held_back(self, now_ms: float) -> None:
+        """Work was refused for the share's sake."""
+        self._bound = True
+        if not self.under_way and now_ms - self._told_ms > HUSH_MS:
+            # Danger: an instance that sends nothing hears nothing, and would never learn of new room.
+            self.told(now_ms, 1.0)
+
+    def sent(self, now_ms: float, work: float) -> None:
+        self._advance(now_ms)
+        self._sent_work += work
+        self.under_way += 1
+
+    def ended(self, now_ms: float, took_ms: float | None = None) -> None:
+        """`took_ms`: of an attempt that was answered."""
+        self._advance(now_ms)
+        self.under_way -= 1
+        if took_ms is not None:
+            self.round_ms += (0.1 if self.round_ms else 1.0) * (took_ms - self.round_ms)
+
+    def told(self, now_ms: float, stretch: float) -> None:
+        """Servers stretch the time of requests so far by now."""
+        self._advance(now_ms)
+        span_s = max(0.0, now_ms - self._told_ms) / 1000.0
+        self._told_ms = now_ms
+        if stretch > NOT_IDLE:
+            self._idle_since_ms = None
+        elif stretch <= IDLE and self._idle_since_ms is None:
+            self._idle_since_ms = now_ms
+        room = 1.0 - stretch / (SPARSE * self._stated.target)
+        if room < 0:
+            cut = CUT_PART * self._stated.cut * min(LONGEST_CUT_S, span_s)
+            self.size *= max(CUT_AT_ONCE, exp(cut * room))
+        elif self._bound:
+            growth = GROWTH_PART * self._first
+            if stretch <= IDLE:
+                growth += IDLE_GROWTH * self.size
+            self.size += min(LONGEST_SPAN_S, span_s) * min(1.0, 2.0 * room) * growth * self._stated.growth
+        else:
+            # Danger: a duty much larger than what is used protects nothing when it is needed.
+            most = max(self._first, KEPT * self.used)
+            if self.size > most:
+                self.size -= min(1.0, span_s / UNUSED_S) * (self.size - most)
+        self.size = max(self._stated.least * self._first, self.size)
+        self._bound = False
--- a/cedarcross/limits/overload.py
+++ b/cedarcross/limits/overload.py
@@ -13,15 +13,15 @@
 from cedarcross.advice import Advisor, Asking
 from cedarcross.interface import EndpointState, ListedEndpoint, Outcome, RequestClass, Settings
 from cedarcross.limits.crowding import Crowding
+from cedarcross.limits.duty import Duty
 from cedarcross.limits.settings import OverloadSettings
 from cedarcross.limits.window import Window
 from cedarcross.limits.worth import Admission
 
 # Requests at a server that all instances together begin with: what they find out by themselves in a second.
 FIRST_HELD = 16.0
-# By how much of the window, and by how many requests, the worthiest may go beyond it; the next ones less.
-# Danger: with a window of two, one long answer of a class worth little holds up an entry past its time.
-BEYOND, BEYOND_MORE = 0.5, 1.0
+# Where that is less than one request an instance, they are too many to find out in time, and begin with less.
+FIRST_DUTY = 8.0
 FULL_TIMES = 2.0  # a refusal for want of room counts as this many times the target
 HOLD_PART = 0.5  # of the shortest aim: as many are held as leave in that time
 QUIET = 0.999  # a share from which on nothing is turned away
@@ -40,7 +40,7 @@
         self._random = Random(seed)
         self.admission = Admission({c.name: c.worth for c in settings.classes}, stated.first, stated.least)
         self.crowding = Crowding(settings.report_fields, FULL_TIMES * stated.target)
-        self.window = Window(stated.window())
+        self.window: Window | Duty = Window(stated.window())
         self._shortest_ms = min((cls.aim_ms for cls in settings.classes), default=1000.0)
         self._begun = False
         self._shedding = False
@@ -53,10 +53,15 @@
         ready = sum(1 for each in endpoints if each.state is EndpointState.READY)
         if ready and not self._begun:
             self._begun = True
-            self.window.begin(FIRST_HELD * ready / self._proxies)
+            if FIRST_HELD * ready < self._proxies:
+                self.window = Duty(self._stated.window(), FIRST_DUTY * ready / self._proxies)
+            else:
+                begun = Window(self._stated.window())
+                begun.begin(FIRST_HELD * ready / self._proxies)
+                self.window = begun
 
     def sent(self, now_ms: float, endpoint: ListedEndpoint, asking: Asking) -> None:
-        self.window.sent()
+        self.window.sent(now_ms, asking.work)
 
     def ended(
         self,
@@ -69,11 +74,11 @@
         took_ms: float = 0.0,
         cls: RequestClass | None = None,
     ) -> None:
-        self.window.ended(took_ms if outcome is Outcome.OK else None)
+        self.window.ended(now_ms, took_ms if outcome is Outcome.OK else None)
         stretch = self.crowding.told(now_ms, endpoint.name, outcome, slowness, report)
         if stretch is not None:
             self.window.told(now_ms, stretch)
-        if self._shedding != (self.window.size < QUIET):
+        if self._shedding != (self.window.share < QUIET):
             self._shedding = not self._shedding
             told = f"servers are full: {self.window.share:.2f} of the work is taken on"
             self._changes.append(told if self._shedding else "servers have room: all work is taken on")
@@ -83,7 +88,8 @@
     def takes(self, now_ms: float, asking: Asking) -> bool:
         name = asking.cls.name if asking.cls is not None else ""
         self.admission.asked(name, asking.work)
-        if self.admission.takes(name, self.window.share):
+        self.window.asked(now_ms, asking.work)
+        if self.admission.takes(name, self.window.share) or self.window.spare(now_ms):
             return True
         self.window.held_back(now_ms)
         return False
@@ -91,8 +97,7 @@
     def holds(self, asking: Asking, held: int) -> bool:
         """Danger: a queue longer than what goes out while its requests are of use. Its end is refused after a
         wait in place of at once, and meanwhile holds the connections that others need."""
-        leaves_per_ms = max(1.0, self.window.size) / self.window.usual_ms
-        most = 1.0 + HOLD_PART * self._shortest_ms * leaves_per_ms
+        most = 1.0 + HOLD_PART * self._shortest_ms * self.window.leaves_per_ms
         return held < most * (1.0 + self._ahead(asking))
 
     def _ahead(self, asking: Asking) -> float:
@@ -113,10 +118,7 @@
     def admits(self, now_ms: float, hall: str | None, asking: Asking) -> bool:
         if hall is not None:
             return True
-        more = 0.0
-        if self.window.size >= 1.0:
-            more = self._ahead(asking) * (BEYOND * self.window.size + BEYOND_MORE)
-        return not self.window.full(now_ms, int(more))
+        return not self.window.full(now_ms, self.window.beyond(self._ahead(asking)))
 
     def changes(self) -> Sequence[str]:
         told, self._changes = self._changes, []
--- a/cedarcross/limits/window.py
+++ b/cedarcross/limits/window.py
@@ -1,10 +1,9 @@
 """How much one of many instances may have under way at all servers together. No I/O, no clock.
 
-One figure serves 3 instances and 3,000: the window. From 1 on it is the number of requests that may be under
-way at once; its part beyond a whole number lets one more through now and then. Below 1 one at a time goes
-out, and the figure is the share of the work offered that is taken on at all (`worth.py` says of whom). A
-bound on what is under way holds a crowd back within a round; where an instance has less than one request
-under way in the mean, no such bound can, and only a share does.
+From 1 on the figure, the window, is the number of requests that may be under way at once; its part beyond a
+whole number lets one more through now and then. Below 1, where a crowd has cut it, one at a time goes out,
+and it is the share of the work offered that is taken on at all (`worth.py` says of whom). Instances so many
+that their part is below 1 from the beginning go by another figure, the duty (`duty.py`).
 
 The control is that of Swift (Kumar et al., "Swift: Delay is Simple and Effective for Congestion Control in
 the Datacenter", SIGCOMM 2020): additive growth under a target delay, cuts in proportion to the excess over
@@ -26,10 +25,12 @@
 IDLE_SHARE_GROWTH = 0.15  # and a share by this
 FAIR = 0.2  # more of the target for the smallest windows, so that those of unequal size come to be alike
 SHARE_PART = 0.3  # of the growth of a window, by which a share grows
-SPARSE = 0.78  # of the target, where each instance hears of a crowd late
 UNUSED_S = 5.0  # time constant of taking back what is not used
 SPARE = 2.0  # so many times what is used is kept, for bursts
 HUSH_MS = 1500.0  # held back whole for so long without an answer, an instance tries again
+# By how much of the window, and by how many requests, the worthiest may go beyond it; the next ones less.
+# Danger: with a window of two, one long answer of a class worth little holds up an entry past its time.
+BEYOND, BEYOND_MORE = 0.5, 1.0
 STALE_ROUND_MS = 100.0  # until attempts were seen
 
 
@@ -50,13 +51,10 @@
         self._told_ms = 0.0
         self._bound = False  # somebody was held back since it was told last
         self._used = 1.0
-        self._sparse = False
         self._credit, self._credit_ms = 0.0, 0.0  # towards one more than the whole part
 
     def begin(self, size: float) -> None:
-        """What it starts from, once the servers are known: this instance's part of what they hold. Below 1
-        the instances are sparse: each hears of a crowd late, and together they need a lower target."""
-        self._sparse = size < 1.0
+        """What it starts from, once the servers are known: this instance's part of what they hold."""
         self.size = max(1.0, size)
         self._used = self.size / SPARE
 
@@ -65,23 +63,40 @@
         """What an attempt takes, as far as is known."""
         return self.round_ms or STALE_ROUND_MS
 
+    @property
+    def leaves_per_ms(self) -> float:
+        """Requests that go out."""
+        return max(1.0, self.size) / self.usual_ms
+
     @property
     def share(self) -> float:
         """Of the work offered, what may be taken on."""
         return min(1.0, self.size)
 
-    def full(self, now_ms: float, more: int = 0) -> bool:
+    def beyond(self, ahead: float) -> float:
+        """Requests by which the worthier may go beyond it. `ahead`: 1 for the worthiest, 0 for the last."""
+        return ahead * (BEYOND * self.size + BEYOND_MORE) if self.size >= 1.0 else 0.0
+
+    def asked(self, now_ms: float, work: float) -> None:
+        """A request has come. What is asked for says nothing here: only what is held back does."""
+
+    def full(self, now_ms: float, more: float = 0.0) -> bool:
         """Is there no room for one more? `more`: requests beyond the window that are let through."""
         size = max(1.0, self.size)
         whole = int(size + 1e-9)
         earned = (size - whole) * max(0.0, now_ms - self._credit_ms) / self.usual_ms
         self._credit = min(1.0, self._credit + earned)
         self._credit_ms = now_ms
-        beyond = self.under_way - whole - more  # with credit one more goes out, and never two
+        beyond = self.under_way - whole - int(more)  # with credit one more goes out, and never two
         full = beyond > 0 or (beyond == 0 and self._credit < 1.0)
         self._bound = self._bound or full
         return full
 
+    def spare(self, now_ms: float) -> bool:
+        """Is there room for work that its share would refuse? A window's share is below 1 only when there is
+        none."""
+        return False
+
     def held_back(self, now_ms: float) -> None:
         """Work was refused for the share's sake."""
         self._bound = True
@@ -89,12 +104,12 @@
             # Danger: an instance that sends nothing hears nothing, and would never learn of new room.
             self.told(now_ms, 1.0)
 
-    def sent(self) -> None:
+    def sent(self, now_ms: float, work: float) -> None:
         if self.under_way >= int(max(1.0, self.size) + 1e-9):
             self._credit = max(0.0, self._credit - 1.0)
         self.under_way += 1
 
-    def ended(self, took_ms: float | None = None) -> None:
+    def ended(self, now_ms: float, took_ms: float | None = None) -> None:
         """`took_ms`: of an attempt that was answered."""
         self.under_way -= 1
         if took_ms is not None:
@@ -105,7 +120,7 @@
         stated = self._stated
         span_s = max(0.0, now_ms - self._told_ms) / 1000.0
         self._told_ms = now_ms
-        higher = SPARSE if self._sparse and self.size <= 1.0 else 1.0 + FAIR / sqrt(max(1.0, self.size))
+        higher = 1.0 + FAIR / sqrt(max(1.0, self.size))
         room = 1.0 - stretch / (stated.target * higher)
         if room < 0:
             self.size *= max(CUT_AT_ONCE, exp(stated.cut * min(LONGEST_CUT_S, span_s) * room))
--- a/tests/limits/test_overload.py
+++ b/tests/limits/test_overload.py
@@ -20,8 +20,10 @@
     RequestArrived,
     Send,
 )
+from cedarcross.limits.duty import Duty
 from cedarcross.limits.overload import Overload
 from cedarcross.limits.settings import OverloadSettings
+from cedarcross.limits.window import Window
 from cedarcross.operators import Operators, parse_operators
 from cedarcross.routing.halls import Halls
 from cedarcross.routing.settings import HallSettings
@@ -103,7 +105,7 @@
 
 def test_no_request_is_held_past_the_moment_when_it_could_be_in_time() -> None:
     made = driver(ON)
-    overload(made).window.begin(1.0)
+    overload(made).window.size = 1.0
     first, _ = made.request("unsafe")
     assert first in made.sent
     waiting = [made.request(name)[0] for name in ("safe", "unsafe", "safe", "unsafe") for _ in range(20)]
@@ -115,7 +117,7 @@
 
 def test_held_requests_go_out_the_worthiest_first() -> None:
     made = driver(ON)
-    overload(made).window.begin(1.0)
+    overload(made).window.size = 1.0
     made.request("unsafe")
     overload(made).window.under_way = 10  # as others do that are not played here
     asked = [made.request(name)[0] for name in ("safe", "unsafe", "safe")]
@@ -261,7 +263,10 @@
 def test_a_listed_server_is_enough_to_begin() -> None:
     made = Overload(OverloadSettings(), replace(PLAIN, proxies=300))
     made.listed(0.0, [ListedEndpoint("s")])
-    assert made.window.size == 1.0
+    assert isinstance(made.window, Duty) and made.window.size == 8.0 / 300
+    few = Overload(OverloadSettings(), replace(PLAIN, proxies=16))
+    few.listed(0.0, [ListedEndpoint("s")])
+    assert isinstance(few.window, Window) and few.window.size == 1.0
     many = Overload(OverloadSettings(), replace(PLAIN, proxies=2, classes=(SAFE, UNSAFE)))
     many.listed(0.0, [ListedEndpoint(f"s{n}") for n in range(9)])
     assert many.window.size == 72.0
--- a/tests/limits/test_window.py
+++ b/tests/limits/test_window.py
@@ -21,14 +21,14 @@
 def busy(made: Window, now_ms: float) -> None:
     """Send as much as it lets."""
     while not made.full(now_ms):
-        made.sent()
+        made.sent(now_ms, 1.0)
 
 
 def test_it_bounds_what_is_under_way() -> None:
     made = window(4.0)
     busy(made, 0.0)
     assert made.under_way == 4 and made.full(1.0)
-    made.ended(50.0)
+    made.ended(1.0, 50.0)
     assert not made.full(2.0)
 
 
@@ -40,12 +40,12 @@
 
 def test_part_of_a_request_is_let_through_now_and_then() -> None:
     made = window(1.5)
-    made.ended(100.0)  # an attempt takes 100 ms
+    made.ended(0.0, 100.0)  # an attempt takes 100 ms
     made.under_way = 1
     sent = 0
     for step in range(1000):
         if not made.full(step * 10.0):
-            made.sent()
+            made.sent(step * 10.0, 1.0)
             made.under_way -= 1
             sent += 1
     assert 45 <= sent <= 52  # half a request at a time, each 100 ms, in 10 s
@@ -122,10 +122,10 @@
         if what == "ask":
             allowed = int(max(1.0, made.size) + 1e-9) + 1 + more
             if not made.full(now_ms, int(more)):
-                made.sent()
+                made.sent(now_ms, 1.0)
                 assert made.under_way <= allowed
         elif what == "end" and made.under_way:
-            made.ended(figure)
+            made.ended(now_ms, figure)
         elif what == "told":
             made.told(now_ms, figure)
         assert made.size >= STATED.least and made.under_way >= 0
