--- a/cedarcross/cli/logs.py
+++ b/cedarcross/cli/logs.py
@@ -16,8 +16,8 @@
 
 import structlog
 
+from cedarcross.bucket import Bucket
 from cedarcross.config.models import LogTable
-from cedarcross.membership.budget import Bucket
 
 MOST_EVENTS = 512
 
--- a/cedarcross/membership/budget.py
+++ b/cedarcross/membership/budget.py
@@ -1,6 +1,6 @@
 """Budgets: how much an instance sends and takes, whatever others do. No I/O; the time is an argument.
 
-`Bucket` is the usual token bucket. `Sources` keeps one for each address that sends, and forgets the one that
+`Sources` keeps a token bucket for each address that sends, and forgets the one that
 has been quiet longest when there are too many. `Lanes` is the work that waits to be sent, by importance: the
 budget goes to the first lane that has any, and what has no room is dropped from the last one."""
 
@@ -11,37 +11,9 @@
 from enum import IntEnum
 from typing import Generic, TypeVar
 
-T = TypeVar("T")
-
-
-class Bucket:
-    """`per_s` tokens a second, `burst` at most; full at the start."""
-
-    __slots__ = ("_at_ms", "_burst", "_per_ms", "tokens")
+from cedarcross.bucket import Bucket
 
-    def __init__(self, per_s: float, burst: float) -> None:
-        self._per_ms, self._burst = per_s / 1000.0, burst
-        self.tokens = burst
-        self._at_ms: float | None = None
-
-    def _fill(self, now_ms: float) -> None:
-        if self._at_ms is not None:
-            gained = max(0.0, now_ms - self._at_ms) * self._per_ms
-            self.tokens = min(self._burst, self.tokens + gained)
-        self._at_ms = now_ms
-
-    def take(self, now_ms: float, cost: float = 1.0) -> bool:
-        """Pay; False, and nothing paid, if the tokens don't reach."""
-        self._fill(now_ms)
-        if self.tokens < cost:
-            return False
-        self.tokens -= cost
-        return True
-
-    def wait_ms(self, now_ms: float, cost: float = 1.0) -> float:
-        """Until `cost` tokens are there; 0: they are."""
-        self._fill(now_ms)
-        return max(0.0, min(cost, self._burst) - self.tokens) / self._per_ms
+T = TypeVar("T")
 
 
 class Sources:
--- a/cedarcross/membership/node.py
+++ b/cedarcross/membership/node.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from cedarcross.bucket import Bucket
 from cedarcross.interface import Settings
-from cedarcross.membership.budget import Bucket, Lane, Lanes, Sources
+from cedarcross.membership.budget import Lane, Lanes, Sources
 from cedarcross.membership.keys import Keyring
 from cedarcross.membership.suspicions import Suspicions
 from cedarcross.membership.swim import Swim, SwimSettings
--- a/cedarcross/membership/swim.py
+++ b/cedarcross/membership/swim.py
@@ -21,7 +21,8 @@
 from math import log, log10
 from random import Random
 
-from cedarcross.membership.budget import Bucket, Lane, Sources
+from cedarcross.bucket import Bucket
+from cedarcross.membership.budget import Lane, Sources
 from cedarcross.membership.health import LocalHealth
 from cedarcross.membership.keys import Keyring
 from cedarcross.membership.members import HERE, Cards, Member, Members, State
--- a/cedarcross/operators.py
+++ b/cedarcross/operators.py
@@ -12,6 +12,7 @@
 from cedarcross.limits.overload import Overload
 from cedarcross.limits.settings import OverloadSettings, read_overload
 from cedarcross.routing.halls import Halls
+from cedarcross.routing.places import ConnectionSettings, read_connections
 from cedarcross.routing.settings import HallSettings, read_halls
 from cedarcross.tomlfile import File, read_text
 
@@ -26,6 +27,7 @@
     halls: HallSettings | None = None
     overload: OverloadSettings | None = None
     gossip: GossipSettings | None = None
+    connections: ConnectionSettings | None = None
 
     @property
     def advises(self) -> bool:
@@ -52,6 +54,7 @@
     top = file.top()
     halls = read_halls(top.table("halls")) if top.has("halls") else None
     overload = read_overload(top.table("overload")) if top.has("overload") else None
+    connections = read_connections(top.table("connections")) if top.has("connections") else None
     gossip: GossipSettings | None = None
     if top.has("gossip"):
         # Not at the top: a daemon without the table starts without the package.
@@ -60,7 +63,7 @@
         gossip = read_gossip(top.table("gossip"))
     top.end()
     file.done()
-    return Operators(halls, overload, gossip)
+    return Operators(halls, overload, gossip, connections)
 
 
 def load_operators(path: str | Path) -> Operators:
--- a/cedarcross/proxy/daemon.py
+++ b/cedarcross/proxy/daemon.py
@@ -8,7 +8,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Protocol
 
 from cedarcross.advice import Advisor
@@ -20,6 +20,7 @@
 from cedarcross.proxy.discovery import Directory, Discovery
 from cedarcross.proxy.front import Front
 from cedarcross.proxy.upstream import OpenSocket, Upstream, open_socket
+from cedarcross.routing.places import Places
 
 if TYPE_CHECKING:
     from cedarcross.membership.gossip import Gossip
@@ -83,6 +84,13 @@
         """`listing`: makes what tells of servers, in the place of a discovery service. `lasting`: advisors
         that outlive a balancer. Raises ValueError where neither a service nor a listing is given."""
         settings = config.settings
+        places = None
+        if operators.connections is not None:
+            idle_ms = settings.limits.conn_idle_ms
+            places = Places(operators.connections, idle_ms, config.seed)
+            # The decisions go by when a connection is closed at the latest, whoever closes it.
+            limits = replace(settings.limits, conn_idle_ms=max(1.0, places.whole_ms))
+            settings = replace(settings, limits=limits)
         most = most or shares(config.sockets)
         self._listen_at = config.listen
         self.settings = settings
@@ -93,6 +101,7 @@
             settings.safety.drain_grace_ms,
             most.to_hosts,
             make_socket,
+            places,
         )
         self.gossip = gossip
         lasting = (*lasting, gossip.advisor) if gossip is not None else tuple(lasting)
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -16,11 +16,12 @@
 from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.config import Address
 from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer
+from cedarcross.routing.places import Places
 
 log = logging.getLogger(__name__)
 
 MAX_HEADERS = 32 * 1024
-SWEEP_S = 1.0
+SWEEP_S = 1.0  # idle connections are looked through so often, and oftener where they rest for less
 # Hosts close an idle connection at the stated time at the latest, and a request that crosses that is
 # reset: ours are retired this part of it earlier.
 IDLE_PART = 0.9
@@ -38,6 +39,10 @@
     return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
 
 
+def sweep_s(rest_ms: float) -> float:
+    return min(SWEEP_S, max(0.05, rest_ms / 4000.0))
+
+
 @dataclass(slots=True, eq=False)
 class HostEntry:
     """A host at one address, in one life. Another address or start time is another entry."""
@@ -117,6 +122,7 @@
         self.attempt: Attempt | None = None
         self.idle_since_ms = 0.0
         self.lost = False
+        self._served = False  # it has brought an answer
         self._counted = True  # among the pool's open descriptors
         self._begin()
 
@@ -227,7 +233,11 @@
         if self._keep and not self.lost:
             self._pool.put_back(self)
         else:
+            # Danger: a host whose queue is full refuses too. It says how full it is, or keeps the connection.
+            if outcome is Outcome.REJECTED and report is None and not self._served:
+                self._pool.turned_away()
             self.abort()
+        self._served = True
         attempt.end(outcome, report, answer)
 
     # The parser's side
@@ -276,13 +286,18 @@
         drain_grace_ms: float,
         most: int,
         make_socket: OpenSocket = open_socket,
+        places: Places | None = None,
     ) -> None:
+        """`places`: what may rest and be opened, where operators bound it."""
+        self._places = places
         self._make_socket = make_socket
         self._connect_timeout_s = limits.connect_timeout_ms / 1000.0
         idle_ms = limits.conn_idle_ms
         self._idle_ms = IDLE_PART * idle_ms if idle_ms is not None else float("inf")
         self._fields = [name.encode() for name in report_fields]
         self._drain_grace_ms = drain_grace_ms
+        if places is not None and places.most is not None:
+            most = min(most, places.most)
         self._most = most  # descriptors, dials under way included
         self.open = 0
         self.entries: dict[str, HostEntry] = {}
@@ -345,7 +360,7 @@
         return attempt
 
     def _take_idle(self, entry: HostEntry) -> HostConnection | None:
-        oldest_ms = now_ms() - self._idle_ms
+        oldest_ms = now_ms() - self._rest_ms()
         while entry.idle:
             connection = entry.idle.pop()
             if connection.idle_since_ms > oldest_ms and connection.quiet():
@@ -362,6 +377,10 @@
         if self.open >= self._most:
             attempt.end(Outcome.CONNECT_FAILED)
             return
+        if self._places is not None and not self._places.may_open(now_ms()):
+            self._log_places(self._places)
+            attempt.end(Outcome.NOT_SENT)  # our own doing: it says nothing of the host
+            return
         self.open += 1
         connection: HostConnection | None = None
         made: HostConnection | None = None
@@ -403,15 +422,36 @@
 
     # The pool
 
+    def _rest_ms(self) -> float:
+        """How long a connection may lie idle now."""
+        if self._places is None:
+            return self._idle_ms
+        return min(self._idle_ms, self._places.rest_ms(now_ms()))
+
+    def turned_away(self) -> None:
+        """A host has answered the first request on a connection by refusing it and closing."""
+        if self._places is not None:
+            self._places.turned_away(now_ms())
+            self._log_places(self._places)
+
+    @staticmethod
+    def _log_places(places: Places) -> None:
+        for text in places.changes():
+            log.info("%s", text)
+
     def put_back(self, connection: HostConnection) -> None:
         entry = connection.entry
         if entry.closed_ms is not None or entry.replaced:
             connection.abort()
             return
+        rest_ms = self._rest_ms()
+        if rest_ms <= 0:  # places are short: one connection, one request
+            connection.abort()
+            return
         connection.idle_since_ms = now_ms()
         entry.idle.append(connection)
         if self._sweep is None:
-            self._sweep = asyncio.get_running_loop().call_later(SWEEP_S, self._retire)
+            self._sweep = asyncio.get_running_loop().call_later(sweep_s(rest_ms), self._retire)
 
     def forget(self, connection: HostConnection) -> None:
         """Its descriptor is free again."""
@@ -422,7 +462,8 @@
 
     def _retire(self) -> None:
         self._sweep = None
-        oldest_ms = now_ms() - self._idle_ms
+        rest_ms = self._rest_ms()
+        oldest_ms = now_ms() - rest_ms
         left = False
         for entry in self.entries.values():
             old = [c for c in entry.idle if c.idle_since_ms <= oldest_ms]
@@ -431,7 +472,7 @@
             for connection in old:
                 connection.abort()
         if left:
-            self._sweep = asyncio.get_running_loop().call_later(SWEEP_S, self._retire)
+            self._sweep = asyncio.get_running_loop().call_later(sweep_s(rest_ms), self._retire)
 
     def _close_longest_idle(self) -> None:
         idle = [c for entry in self.entries.values() for c in entry.idle]
--- a/tests/membership/test_budget.py
+++ b/tests/membership/test_budget.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cedarcross.membership.budget import Bucket, Lane, Lanes, Sources
+from cedarcross.bucket import Bucket
+from cedarcross.membership.budget import Lane, Lanes, Sources
 from cedarcross.membership.replay import WIDTH, Window
 from cedarcross.membership.rumours import Rumours, times
 from cedarcross.membership.wire import Ping, Suspect, pack
--- /dev/null
+++ b/tests/test_places.py
@@ -0,0 +1,207 @@
+"""What rests and what is opened: by the decisions alone, by the daemon's pool, and with many instances."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+from typing import cast
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarcross.emulator.day import Day, load
+from cedarcross.emulator.network import MemoryNetwork
+from cedarcross.emulator.report import report
+from cedarcross.emulator.stage import Played, play_virtual
+from cedarcross.emulator.virtual import Scheduler
+from cedarcross.interface import Limits, Outcome
+from cedarcross.operators import NOTHING, Operators, parse_operators
+from cedarcross.proxy import clock
+from cedarcross.proxy.messages import ClientRequest
+from cedarcross.proxy.upstream import Ended, Upstream
+from cedarcross.routing.places import BACK_MS, CUT_EVERY_MS, SPREAD, ConnectionSettings, Places
+from cedarcross.tomlfile import TomlError
+
+DAY = Path(__file__).parents[1] / "examples" / "days" / "hall-lost-busy.toml"
+
+
+def test_refusals_cut_the_rest_down_to_none_and_those_that_come_together_are_one() -> None:
+    places = Places(ConnectionSettings(rest_s=8.0), 30_000.0)
+    assert places.rest_ms(0.0) == 8000.0
+    for _ in range(20):
+        places.turned_away(10.0)
+    assert places.rest_ms(10.0) == 2000.0
+    now_ms = 10.0
+    for _ in range(4):
+        now_ms += CUT_EVERY_MS
+        places.turned_away(now_ms)
+    assert places.rest_ms(now_ms) == 0.0
+    assert len(places.changes()) == 1 and not places.changes()
+
+
+def test_the_rest_comes_back_without_refusals_and_at_different_moments() -> None:
+    moments = set()
+    for seed in range(20):
+        places, now_ms = Places(ConnectionSettings(rest_s=8.0), None, seed), 0.0
+        for _ in range(8):
+            now_ms += CUT_EVERY_MS
+            places.turned_away(now_ms)
+        while places.rest_ms(now_ms) == 0.0:
+            now_ms += 100.0
+        moments.add(now_ms)
+        while places.rest_ms(now_ms) < 8000.0:
+            now_ms += 1000.0
+            assert now_ms < 10 * (1 + SPREAD) * BACK_MS
+        assert any("as stated again" in text for text in places.changes())
+    assert len(moments) > 10
+
+
+def test_servers_that_close_sooner_bound_the_rest() -> None:
+    assert Places(ConnectionSettings(rest_s=8.0), 3000.0).rest_ms(0.0) == 3000.0
+
+
+MOMENTS = st.lists(st.tuples(st.floats(0, 30_000), st.sampled_from(["away", "open", "look"])), max_size=120)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(st.floats(0, 60), st.floats(0.1, 50), st.integers(0, 9), MOMENTS)
+def test_the_bounds_hold_as_counts_over_any_course(
+    rest_s: float, per_s: float, seed: int, moments: list[tuple[float, str]]
+) -> None:
+    places = Places(ConnectionSettings(rest_s, opens_per_s=per_s), None, seed)
+    now_ms, opened, last_ms = 0.0, 0, places.whole_ms
+    for passed, what in moments:
+        now_ms += passed
+        before_ms = places.rest_ms(now_ms)
+        assert 0.0 <= before_ms <= places.whole_ms == 1000.0 * rest_s
+        if what == "away":
+            places.turned_away(now_ms)
+            assert places.rest_ms(now_ms) <= before_ms
+        elif what == "open":
+            opened += places.may_open(now_ms)
+            assert opened <= max(1.0, 2 * per_s) + per_s * now_ms / 1000.0 + 1e-6
+        last_ms = places.rest_ms(now_ms)
+    # However it went, it comes back by itself.
+    now_ms += 10 * (1 + SPREAD) * BACK_MS
+    assert places.rest_ms(now_ms) == places.whole_ms >= last_ms
+
+
+def pool(places: Places | None, script: list[bytes], apart_s: float) -> tuple[list[Outcome], int, int]:
+    """Requests to one host `apart_s` apart, each answered by the script's next. Returns how they ended, the
+    connections that the host saw, and those left open."""
+    scheduler = Scheduler()
+    loop = scheduler.new_loop("proxy")
+    network = MemoryNetwork(loop)
+    seen: list[asyncio.BaseTransport] = []
+    answers = iter(script)
+
+    class Host(asyncio.Protocol):
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            self.transport = transport
+            seen.append(transport)
+
+        def data_received(self, data: bytes) -> None:
+            cast(asyncio.Transport, self.transport).write(next(answers))
+
+    async def main() -> tuple[list[Outcome], int, int]:
+        host = network.listen(loop, Host, ("127.0.0.1", 0))
+        upstream = Upstream(Limits(conn_idle_ms=60_000.0), (), 1000.0, 10, network.socket, places)
+        upstream.listed("h", host.address, None, True)
+        ended: list[Ended] = []
+        for _ in script:
+            request = ClientRequest(b"POST", b"/c/1", [], b"", clock.now_ms(), "c")
+            assert upstream.start(request, "h", 5000.0, ended.append) is not None
+            await asyncio.sleep(apart_s)
+        return [each.outcome for each in ended], len(seen), upstream.open
+
+    with clock.driven(scheduler.time, scheduler.time):
+        return scheduler.run(loop, main(), 600.0)
+
+
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+AWAY = b"HTTP/1.1 503 X\r\nX-Never-Ran: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+FULL = b"HTTP/1.1 503 X\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_a_connection_rests_for_what_is_stated_and_no_longer() -> None:
+    stated = ConnectionSettings(rest_s=2.0)
+    assert pool(Places(stated, None), [GOOD] * 4, 1.0)[1:] == (1, 1)
+    assert pool(Places(stated, None), [GOOD] * 4, 3.0)[1:] == (4, 0)
+    assert pool(None, [GOOD] * 4, 3.0)[1:] == (1, 1)
+
+
+def test_who_is_turned_away_keeps_connections_for_less_in_the_end_for_one_request() -> None:
+    places = Places(ConnectionSettings(rest_s=2.0), None)
+    outcomes, seen, still = pool(places, [AWAY] * 8 + [GOOD] * 4, 0.3)
+    assert outcomes == [Outcome.REJECTED] * 8 + [Outcome.OK] * 4
+    assert seen == 12 and still == 0  # used again they would be nine
+    assert places.rest_ms(clock.now_ms()) >= 0.0
+
+
+def test_a_full_queue_is_no_want_of_places() -> None:
+    places = Places(ConnectionSettings(rest_s=2.0), None)
+    assert pool(places, [FULL] * 8 + [GOOD] * 4, 0.3)[1:] == (1, 1)
+    assert not places.changes()
+
+
+def test_what_may_not_be_opened_is_not_sent_and_tells_nothing_of_the_host() -> None:
+    stated = ConnectionSettings(rest_s=0.0, opens_per_s=0.5)
+    outcomes, seen, _ = pool(Places(stated, None), [GOOD] * 6, 0.4)
+    assert outcomes[0] is Outcome.OK and Outcome.NOT_SENT in outcomes
+    assert set(outcomes) <= {Outcome.OK, Outcome.NOT_SENT} and seen == outcomes.count(Outcome.OK) <= 3
+
+
+def test_no_more_are_open_than_stated() -> None:
+    places = Places(ConnectionSettings(most=1), None)
+    outcomes, _, still = pool(places, [GOOD] * 3, 0.0)
+    assert still <= 1 and outcomes.count(Outcome.CONNECT_FAILED) >= 1
+
+
+@pytest.mark.parametrize("text", ["rest_s = -1", "most = 0", "opens_per_s = 0", "rest = 3", "rest_s = true"])
+def test_a_bad_table_is_refused_with_line_and_key(text: str) -> None:
+    with pytest.raises(TomlError) as told:
+        parse_operators(f"[connections]\n{text}\n", "own.toml")
+    assert "own.toml:2:" in str(told.value) and text.split()[0] in str(told.value)
+
+
+def test_the_table_is_read() -> None:
+    read = parse_operators("[connections]\nrest_s = 2\nmost = 30\nopens_per_s = 5\n", "own.toml").connections
+    assert read == ConnectionSettings(2.0, 30, 5.0)
+    assert NOTHING.connections is None
+
+
+def calm(proxies: int, places: int, length_s: float = 40.0, rate: float = 40.0) -> Day:
+    """Nothing happens, at less than a tenth of what the servers bear."""
+    day = load(DAY)
+    clients = replace(day.clients, proxies=proxies, rate_per_s=rate)
+    kinds = tuple(replace(kind, connections=places) for kind in day.kinds)
+    return replace(day, length_s=length_s, incidents=(), clients=clients, kinds=kinds)
+
+
+def at_rest(played: Played) -> list[int]:
+    """Connections at all servers, look by look."""
+    looks = zip(*played.ledger.samples.values(), strict=True)
+    return [sum(each.connections for each in look) for look in looks]
+
+
+def test_many_instances_on_a_calm_day_do_not_starve_each_other() -> None:
+    day = calm(120, 20)
+    on = play_virtual(day, operators=Operators(connections=ConnectionSettings(rest_s=2.0)))
+    off = play_virtual(day)
+    assert report(off).served_share < 0.97  # it is that day
+    told = report(on)
+    assert told.served_share > 0.99 and told.worst_window > 0.98 and not told.broken
+    assert max(at_rest(on)) < 0.8 * 9 * 20 <= max(at_rest(off))
+
+
+def test_where_the_stated_rest_is_too_long_instances_find_out_and_let_go() -> None:
+    day = calm(120, 20, length_s=50.0)
+    on = play_virtual(day, operators=Operators(connections=ConnectionSettings(rest_s=600.0)))
+    off = play_virtual(day)
+    told, before = report(on), report(off)
+    assert told.served_share > before.served_share + 0.02 and not told.broken
+    assert told.fates["turned away"] < 0.6 * before.fates["turned away"]
