--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -139,7 +139,6 @@
     outcomes, seen, still = pool(places, [AWAY] * 8 + [GOOD] * 4, 0.3)
     assert outcomes == [Outcome.REJECTED] * 8 + [Outcome.OK] * 4
     assert seen == 12 and still == 0  # used again they would be nine
-    assert places.rest_ms(clock.now_ms()) >= 0.0
 
 
 def test_a_full_queue_is_no_want_of_places() -> None:
@@ -148,6 +147,18 @@
     assert not places.changes()
 
 
+def test_a_host_that_ends_a_used_connection_with_a_refusal_is_no_want_of_places() -> None:
+    places = Places(ConnectionSettings(rest_s=2.0), None)
+    outcomes, seen, _ = pool(places, [GOOD, AWAY] * 3, 0.3)
+    assert outcomes == [Outcome.OK, Outcome.REJECTED] * 3 and seen == 3
+    assert not places.changes() and places.rest_ms(1e6) == 2000.0
+
+
+def test_with_no_rest_a_connection_is_let_go_with_its_answer() -> None:
+    outcomes, seen, still = pool(Places(ConnectionSettings(rest_s=0.0), None), [GOOD] * 3, 0.01)
+    assert outcomes == [Outcome.OK] * 3 and seen == 3 and still == 0
+
+
 def test_what_may_not_be_opened_is_not_sent_and_tells_nothing_of_the_host() -> None:
     stated = ConnectionSettings(rest_s=0.0, opens_per_s=0.5)
     outcomes, seen, _ = pool(Places(stated, None), [GOOD] * 6, 0.4)
