--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,16 +1,18 @@
 """Worth served over offered load: without admission, with it, with static limits, and the bound.
 
     python -m benchmarks.overload [--seeds 3] [--proxies 3 30 300] [--loads 0.5 0.8 1 1.2 1.5 2 3]
-                                  [--ways before now static] [--length 20] [--places 2000] [--page FILE.html]
+                                  [--ways before now static rest] [--length 20] [--places 2000]
+                                  [--page FILE.html]
 
 The fleet of `examples/days/overload-hall-lost.toml` with nothing lost, the same arrivals for every way, on
-the virtual clock. `--loads` are multiples of the work that all cores do; `--places` are the connections that
-a server takes, so that with 300 instances it is the load that is measured and not the want of connections.
-By way, size and load: the worth served over that asked for, in all and in the worst window; both over the
-bound; service by class; the share of the cores' time that went into answers which counted. The bound serves
-the classes by worth for a unit of work until the cores are used up, with no waiting and no late answer.
-Prints JSON with the seeds, cores and the least and most over the seeds, one row as soon as it is known on
-standard error; with `--page` draws the curves (needs the extra `plots`).
+the virtual clock. `rest` is `now` with `[connections]` by its defaults. `--loads` are multiples of the work
+that all cores do; `--places` are the connections that a server takes, so that with 300 instances it is the
+load that is measured and not the want of connections. By way, size and load: the worth served over that
+asked for, in all and in the worst window; both over the bound; service by class; the share of the cores'
+time that went into answers which counted. The bound serves the classes by worth for a unit of work until
+the cores are used up, with no waiting and no late answer. Prints JSON with the seeds, cores and the least
+and most over the seeds, one row as soon as it is known on standard error; with `--page` draws the curves
+(needs the extra `plots`).
 """
 
 from __future__ import annotations
@@ -31,6 +33,7 @@
 from cedarcross.emulator.stage import Played, play_virtual
 from cedarcross.limits.settings import OverloadSettings
 from cedarcross.operators import NOTHING, Operators
+from cedarcross.routing.places import ConnectionSettings
 
 ROOT = Path(__file__).resolve().parents[1]
 DAY = ROOT / "examples" / "days" / "overload-hall-lost.toml"
@@ -40,6 +43,7 @@
     "before": NOTHING,
     "now": Operators(overload=OverloadSettings()),
     "static": Operators(overload=STATIC),
+    "rest": Operators(overload=OverloadSettings(), connections=ConnectionSettings()),
 }
 
 
@@ -138,7 +142,7 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--proxies", type=int, nargs="*", default=[3, 30, 300])
     parser.add_argument("--loads", type=float, nargs="*", default=[0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0])
-    parser.add_argument("--ways", nargs="*", choices=list(WAYS), default=list(WAYS))
+    parser.add_argument("--ways", nargs="*", choices=list(WAYS), default=["before", "now", "static"])
     parser.add_argument("--length", type=float, default=20.0)
     parser.add_argument("--places", type=int, default=2000)
     parser.add_argument("--page", type=Path)
