--- a/cedarcross/limits/duty.py
+++ b/cedarcross/limits/duty.py
@@ -92,6 +92,14 @@
             return 1.0
         return min(1.0, OVER * self.size / self.used * self._sent_work / self._asked_work)
 
+    def resized(self, first: float) -> None:
+        """Servers have come or gone: what an instance begins with is now this. Danger: who was told of one
+        server first and of the others a moment later would keep a ninth of its part; in proportion, so that
+        servers which come and go in a crowd undo no cut."""
+        if first > 0:
+            self.size *= first / self._first
+            self._first = first
+
     def beyond(self, ahead: float) -> float:
         """How far the worthier may go beyond it. `ahead`: 1 for the worthiest class, 0 for the last."""
         return ahead * BORROWED_ROUNDS
--- a/cedarcross/limits/overload.py
+++ b/cedarcross/limits/overload.py
@@ -59,6 +59,8 @@
                 begun = Window(self._stated.window())
                 begun.begin(FIRST_HELD * ready / self._proxies)
                 self.window = begun
+        elif isinstance(self.window, Duty):
+            self.window.resized(FIRST_DUTY * ready / self._proxies)
 
     def sent(self, now_ms: float, endpoint: ListedEndpoint, asking: Asking) -> None:
         self.window.sent(now_ms, asking.work)
--- a/tests/limits/test_overload.py
+++ b/tests/limits/test_overload.py
@@ -264,6 +264,10 @@
     made = Overload(OverloadSettings(), replace(PLAIN, proxies=300))
     made.listed(0.0, [ListedEndpoint("s")])
     assert isinstance(made.window, Duty) and made.window.size == 8.0 / 300
+    made.window.size /= 2  # a crowd
+    for ready in (9, 0, 9):  # the rest of the list comes; a list of none changes nothing
+        made.listed(1.0, [ListedEndpoint(f"s{n}") for n in range(ready)])
+        assert made.window.size == pytest.approx(9 * 4.0 / 300)
     few = Overload(OverloadSettings(), replace(PLAIN, proxies=16))
     few.listed(0.0, [ListedEndpoint("s")])
     assert isinstance(few.window, Window) and few.window.size == 1.0
