--- a/cedarcross/limits/duty.py
+++ b/cedarcross/limits/duty.py
@@ -49,7 +49,7 @@
 KEPT = 2.0  # so many times what is used stays
 MEMORY_MS = 4000.0  # over which what is asked for and let out is smoothed
 SURE_ASKED = 6.0  # requests asked for within the memory before a share is reckoned from them
-OVER = 1.0  # taken on beyond what the duty lets out: it binds, and so is seen to be too small
+OVER = 1.0  # of what the duty lets out, that is taken on
 BORROWED_ROUNDS = 1.0  # by which the worthiest class goes ahead of what is paid for
 
 
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -426,7 +426,9 @@
         """How long a connection may lie idle now."""
         if self._places is None:
             return self._idle_ms
-        return min(self._idle_ms, self._places.rest_ms(now_ms()))
+        rest_ms = self._places.rest_ms(now_ms())
+        self._log_places(self._places)
+        return min(self._idle_ms, rest_ms)
 
     def turned_away(self) -> None:
         """A host has answered the first request on a connection by refusing it and closing."""
--- a/cedarcross/routing/places.py
+++ b/cedarcross/routing/places.py
@@ -23,6 +23,7 @@
 LEAST_PART = 1 / 256  # of the stated rest; below it there is none
 BACK_MS = 15_000.0  # without a sign for about so long the rest is doubled
 SPREAD = 0.25  # of that, either way
+TOLD_EVERY_MS = 10_000.0  # danger: a line in the log for each opening refused
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +62,7 @@
         self._cut_ms = float("-inf")
         self._back_ms = float("inf")
         self._random = Random(seed)
-        self._refused = False  # an opening, since it was told
+        self._told_ms = float("-inf")  # that openings are refused
         self._changes: list[str] = []
 
     def rest_ms(self, now_ms: float) -> float:
@@ -88,14 +89,14 @@
         """May one more connection be opened now? It is counted as opened."""
         if self._opens is None or self._opens.take(now_ms):
             return True
-        if not self._refused:
-            self._refused = True
+        if now_ms - self._told_ms >= TOLD_EVERY_MS:
+            self._told_ms = now_ms
             self._changes.append("opens_per_s is reached: attempts that need a new connection are not sent")
         return False
 
     def changes(self) -> list[str]:
         """What is worth a line in the log since it was asked last."""
-        told, self._changes, self._refused = self._changes, [], False
+        told, self._changes = self._changes, []
         return told
 
     def _wait_ms(self) -> float:
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -62,6 +62,23 @@
     assert Places(ConnectionSettings(rest_s=8.0), 3000.0).rest_ms(0.0) == 3000.0
 
 
+def test_thousands_of_openings_refused_are_told_of_a_few_times() -> None:
+    places, told = Places(ConnectionSettings(opens_per_s=0.1), None), 0
+    for step in range(5000):  # half a minute
+        places.may_open(step * 6.0)
+        told += len(places.changes())
+    assert 1 <= told <= 3
+
+
+def test_that_the_rest_is_as_stated_again_is_logged_without_another_refusal(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    pool(Places(ConnectionSettings(rest_s=2.0), None), [AWAY, GOOD, GOOD, GOOD], 40.0)
+    texts = [record.getMessage() for record in caplog.records]
+    assert sum("are short" in text for text in texts) == sum("as stated again" in text for text in texts) == 1
+
+
 MOMENTS = st.lists(st.tuples(st.floats(0, 30_000), st.sampled_from(["away", "open", "look"])), max_size=120)
 
 
