--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -30,6 +30,7 @@
 from cedarcross.emulator.day import Incident, load
 from cedarcross.emulator.report import report
 from cedarcross.emulator.stage import play_virtual
+from cedarcross.extras import require
 from cedarcross.operators import NOTHING, Operators
 from cedarcross.routing.places import ConnectionSettings
 
@@ -113,6 +114,8 @@
     parser.add_argument("--page", type=Path)
     parser.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) - 1))
     args = parser.parse_args()
+    if args.page:
+        require("--page", "plots", "matplotlib")  # before hours of work, not after
     first = load(DAY).seed
     seeds = [first + number for number in range(args.seeds)]
     cells = [(way, day, size) for day in args.days for way in args.ways for size in args.proxies]
--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -37,6 +37,7 @@
 from cedarcross.emulator.schedules import plan, play
 from cedarcross.emulator.stage import play_virtual
 from cedarcross.emulator.town import Town
+from cedarcross.extras import require
 from cedarcross.membership.members import State
 from cedarcross.membership.node import GossipSettings, Node
 from cedarcross.membership.rumours import Rumours
@@ -392,6 +393,8 @@
     one.add_argument("days", nargs="*", default=["calm-morning", "freeze-spreads", "wedding-saturday"])
     one.add_argument("--seeds", type=int, default=5)
     args = parser.parse_args()
+    if getattr(args, "page", None):
+        require("--page", "plots", "matplotlib")  # before hours of work, not after
     commands = {f.__name__: f for f in (sick, traffic, detection, schedules, structures, days)}
     began = time.time()
     found = commands[args.what](args)
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -31,6 +31,7 @@
 from cedarcross.emulator.ledger import Ending
 from cedarcross.emulator.report import report
 from cedarcross.emulator.stage import Played, play_virtual
+from cedarcross.extras import require
 from cedarcross.limits.settings import OverloadSettings
 from cedarcross.operators import NOTHING, Operators
 from cedarcross.routing.places import ConnectionSettings
@@ -148,6 +149,8 @@
     parser.add_argument("--page", type=Path)
     parser.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) - 1))
     args = parser.parse_args()
+    if args.page:
+        require("--page", "plots", "matplotlib")  # before hours of work, not after
     day = load(DAY)
     seeds = [day.seed + number for number in range(args.seeds)]
     cells = [(way, size, load_) for size in args.proxies for way in args.ways for load_ in args.loads]
--- a/cedarcross/cli/__main__.py
+++ b/cedarcross/cli/__main__.py
@@ -9,9 +9,13 @@
 from pathlib import Path
 from typing import Any
 
-import click
+from cedarcross.extras import require
 
-from cedarcross.tomlfile import TomlError
+require("cedarcross", "cli", "click", "pydantic", "structlog")
+
+import click  # noqa: E402
+
+from cedarcross.tomlfile import TomlError  # noqa: E402
 
 FILE = click.Path(dir_okay=False, path_type=Path)
 DIR = click.Path(file_okay=False, path_type=Path)
--- a/cedarcross/membership/__main__.py
+++ b/cedarcross/membership/__main__.py
@@ -13,9 +13,13 @@
 import secrets
 from pathlib import Path
 
-import click
+from cedarcross.extras import require
 
-from cedarcross.membership.keys import (
+require("cedarcross.membership", "gossip", "click", "cryptography")
+
+import click  # noqa: E402
+
+from cedarcross.membership.keys import (  # noqa: E402
     SECRET,
     Ed25519,
     check_mode,
@@ -24,8 +28,8 @@
     load_keyring,
     write_private,
 )
-from cedarcross.membership.wire import U8, U32
-from cedarcross.tomlfile import File, TomlError, read_text
+from cedarcross.membership.wire import U8, U32  # noqa: E402
+from cedarcross.tomlfile import File, TomlError, read_text  # noqa: E402
 
 EXISTING = click.Path(exists=True, dir_okay=False, path_type=Path)
 NEW = click.Path(dir_okay=False, path_type=Path)
--- a/cedarcross/proxy/__main__.py
+++ b/cedarcross/proxy/__main__.py
@@ -61,12 +61,9 @@
     """The keys that the operators' file names, if it does. Raises TomlError."""
     if operators.gossip is None:
         return None
-    try:
-        from cedarcross.membership.keys import load_keyring
+    from cedarcross.membership.keys import load_keyring
 
-        return load_keyring(operators.gossip.keys)
-    except ImportError as error:
-        raise TomlError(f"[gossip] needs the extra of that name (pip install .[gossip]): {error}") from None
+    return load_keyring(operators.gossip.keys)
 
 
 def arguments() -> argparse.ArgumentParser:
