--- a/cedarcross/emulator/day.py
+++ b/cedarcross/emulator/day.py
@@ -36,8 +36,8 @@
     "replace",
     "lies",
 )
-OTHER_TROUBLES = ("costly", "load", "discovery", "proxy_restart", "proxy_kill")
-FAIL_MODES = ("error", "reset", "silent", "spoilt")
+OTHER_TROUBLES = ("costly", "load", "discovery", "proxy_restart", "proxy_kill", "cut")
+FAIL_MODES = ("error", "reset", "silent", "spoilt", "lost")
 DISCOVERY_MODES = ("503", "silent", "reset")
 
 
@@ -237,6 +237,14 @@
             named = [s for s in named if s.name in chosen]
         return tuple(s.name for s in named)
 
+    def parted(self, number: int, incident: Incident, server: ServerSpec) -> tuple[int, ...]:
+        """The proxies that a cut parts from a server: those that it names, from the servers that it names;
+        or, of a hall, all others from its servers, and its own from all others."""
+        if incident.proxies:
+            return incident.proxies if server.name in self.target(number, incident) else ()
+        inside = server.hall == incident.hall
+        return tuple(p for p in range(self.clients.proxies) if (self.hall_of(p) == incident.hall) != inside)
+
     def factor(self, at_s: float, class_name: str = "") -> float:
         """The clients' rate then for a class, as a multiple of the usual; without a name for all of them."""
         factor = 1.0
@@ -435,10 +443,12 @@
         if name not in classes:
             t.fault("classes", f"no [[class]] is named {name!r}")
     if (
-        what in ("fail", "freeze", "pauses", "slow", "lies", "costly", "load", "discovery")
+        what in ("fail", "freeze", "pauses", "slow", "lies", "costly", "load", "discovery", "cut")
         and not incident.for_s
     ):
         t.fault("for_s", f"missing: how long {what!r} lasts")
+    if what == "cut" and not incident.hall and not incident.proxies:
+        t.fault("hall", "missing: the hall that is cut off, or the proxies that lose touch with servers")
     if what == "pauses" and incident.pause_ms >= incident.every_ms:
         t.fault("pause_ms", "as long as every_ms or longer: the server would never run")
     t.end()
--- a/cedarcross/emulator/ledger.py
+++ b/cedarcross/emulator/ledger.py
@@ -52,6 +52,7 @@
     started_s: float | None = None
     ended_s: float | None = None
     answered: bool = False
+    unheard: bool = False  # its answer is lost, as scripted
 
 
 @dataclass(slots=True, eq=False)
--- a/cedarcross/emulator/record_server.py
+++ b/cedarcross/emulator/record_server.py
@@ -92,7 +92,7 @@
 
     def read_on(self) -> None:
         """Read what has come and is due; a server that stands still reads nothing."""
-        while self._come and not self._server.still and not self.lost:
+        while self._come and not self._server.still and not self.lost and not self.parted:
             left_s = self._come[0][0] - self._server.now_s
             if left_s > 1e-6:
                 # A real loop's timer may fire a hair early.
@@ -107,6 +107,16 @@
                 self.end()
                 return
 
+    @property
+    def parted(self) -> bool:
+        """Is the way to its proxy cut? What is sent either way waits, as on TCP, until it is whole again."""
+        return self.proxy in self._server.parted
+
+    def meet_again(self) -> None:
+        while self._going and not self.lost:
+            self._write()
+        self.read_on()
+
     def stand_still(self) -> None:
         if self._transport is not None and not self.lost:
             self._transport.pause_reading()
@@ -150,11 +160,11 @@
             if last:
                 self._server.loop.call_later(self._trip_s, self._write)
         else:
-            while self._going:
+            while self._going and not self.parted:
                 self._write()
 
     def _write(self) -> None:
-        if not self._going or self._transport is None:
+        if not self._going or self._transport is None or self.parted:
             return
         data = self._going.popleft()
         if data is None:
@@ -192,6 +202,8 @@
         self.up = False
         self.draining = False
         self.silent = False
+        self.parted: set[int] = set()  # proxies that it is cut off from
+        self._cuts: dict[int, int] = {}  # how many cuts part it from a proxy
         self.lies = False  # its reports say that it is idle
         self._still = 0
         self._held: list[Callable[[], None]] = []  # what was to be done while it stood still
@@ -247,6 +259,7 @@
         """Come, under a name of its own, at the addresses of one that has gone."""
         other.successor = self
         self.doors = other.doors
+        self.parted, self._cuts = other.parted, other._cuts
 
     def start(self, cold: bool, since_ms: int = 0) -> None:
         """A process begins, at the same addresses as the one before."""
@@ -258,8 +271,10 @@
         self.machine = self._new_machine(cold)
         for trouble in self._slow:
             self.machine.slow *= trouble
-        for door in self.doors:
+        for proxy, door in enumerate(self.doors):
             door.open()
+            if proxy in self.parted:
+                door.hold()
 
     def die(self) -> None:
         """Its process ends: connections are reset, dials refused, what it held is gone."""
@@ -315,10 +330,31 @@
         if not self.up or life != self.life or not self.silent:
             return
         self.silent = False
-        for door in self.doors:
-            door.open()
+        for proxy, door in enumerate(self.doors):
+            if proxy not in self.parted:
+                door.open()
         self.thaw(life)
 
+    def part_from(self, proxies: tuple[int, ...]) -> None:
+        """The network between it and these proxies is cut: no dial comes up, open connections go silent."""
+        for proxy in proxies:
+            self._cuts[proxy] = self._cuts.get(proxy, 0) + 1
+            self.parted.add(proxy)
+            if self.up:
+                self.doors[proxy].hold()
+
+    def meet_again(self, proxies: tuple[int, ...]) -> None:
+        for proxy in proxies:
+            self._cuts[proxy] -= 1
+            if self._cuts[proxy]:
+                continue
+            self.parted.discard(proxy)
+            if self.up and not self.silent:
+                self.doors[proxy].open()
+        for connection in list(self.connections):
+            if not connection.parted:
+                connection.meet_again()
+
     def slow_down(self, times: float) -> None:
         self._catch_up()
         self._slow.append(times)
@@ -384,6 +420,9 @@
             return
         for trouble in self.troubles:
             if trouble.befalls(self.stage.day.seed, self.name, arrival):
+                if trouble.incident.mode == "lost":
+                    arrival.unheard = True  # it runs, and its answer gets lost on the way
+                    break
                 self._fail(connection, arrival, trouble.incident)
                 return
         self._offer(connection, arrival, headers, tried.work_ms)
@@ -491,6 +530,8 @@
         arrival.ended_s = job.ended_s
         if arrival.fate is not Fate.REPEAT:
             arrival.fate = Fate.RAN
+        if arrival.unheard:
+            return
         arrival.answered = not connection.lost
         body = f"{arrival.id} {self.name} {arrival.fate.value}".encode()
         connection.answer(worded(200, body, self._report()))
--- a/cedarcross/emulator/stage.py
+++ b/cedarcross/emulator/stage.py
@@ -335,6 +335,12 @@
         elif incident.what == "discovery":
             self.at(incident.at_s, lambda: self.registry.go_down(incident.mode))
             self.at(until_s, self.registry.come_up)
+        elif incident.what == "cut":
+            for server in self.servers.values():
+                parted = self.day.parted(number, incident, server.spec)
+                if parted:
+                    self.at(incident.at_s, lambda s=server, p=parted: s.heir().part_from(p))  # type: ignore[misc]
+                    self.at(until_s, lambda s=server, p=parted: s.heir().meet_again(p))  # type: ignore[misc]
         elif incident.what in ("proxy_restart", "proxy_kill"):
             chosen = incident.proxies or tuple(range(self.day.clients.proxies))
             for nth, proxy in enumerate(chosen):
--- a/tests/emulator/test_day.py
+++ b/tests/emulator/test_day.py
@@ -64,6 +64,8 @@
         (incident("freeze", 1.0, for_s=1.0, servers=["east-9"]), "servers", "no server 'east-9'"),
         (incident("fail", 1.0, for_s=1.0, mode="odd"), "mode", "one of error, reset"),
         (incident("fail", 1.0, for_s=1.0, classes=["none"]), "classes", "no [[class]]"),
+        (incident("cut", 1.0, for_s=1.0), "hall", "cut off"),
+        (incident("cut", 1.0, hall="east"), "for_s", "how long"),
         (incident("pauses", 1.0, for_s=1.0, pause_ms=2000.0), "pause_ms", "never run"),
         (incident("proxy_kill", 1.0, proxies=[7]), "proxies", "from 0 to 1"),
         (incident("freeze", 1.0, for_s=1.0, hall="east", servers=["west-1"]), "what", "no server"),
--- a/tests/emulator/test_troubles.py
+++ b/tests/emulator/test_troubles.py
@@ -40,7 +40,8 @@
 
 def test_a_stated_share_of_requests_fails_for_the_stated_time() -> None:
     result, of = played(
-        incidents=incident("fail", 2.0, for_s=3.0, servers=["east-1"], share=0.5, classes=[KEYED])
+        incidents=incident("fail", 2.0, for_s=3.0, servers=["east-1"], share=0.5, classes=[KEYED]),
+        clients="proxies = 2\nrate_per_s = 120",
     )
     inside = [a for a in arrivals(result, "east-1", 2.0, 5.0) if a.class_name == KEYED]
     failed = [a for a in inside if a.fate is Fate.ERROR]
@@ -79,6 +80,7 @@
             1000.0 * (a.ended_s - a.started_s) / result.ledger.tries[a.id].work_ms
             for a in result.ledger.arrivals
             if a.server == server and a.ended_s and a.started_s and a.fate is Fate.RAN
+            if result.start_s <= a.started_s and a.ended_s < result.start_s + 6.0
         ]
         assert runs and min(runs) == pytest.approx(times, rel=0.001)
 
