Feed cold servers from the start, take no loss for a crowd, spread what a hall loses

Ruled out: CPU, memory, descriptors, retry tokens, paused servers. Lines at fault: Pool.fill (sorted by zone), Picker.score (warmth a second time), Balancer._cold_room (credit from nothing), Crowding.told and stretch, Window.told (growth), Overload.listed.

--- a/cedarcross/advice.py
+++ b/cedarcross/advice.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass
 from math import prod
 
@@ -31,6 +31,7 @@
     by_hall = False  # it orders halls: servers are pooled by hall
     paces = False  # it holds crowds back itself: the module's gate for shared servers stands open
     leans = False  # it has a factor for the scores of servers
+    barred: Set[str] = frozenset()  # servers that it leaves out, never all of them; the same set throughout
 
     def listed(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
         """All servers known by now, whatever their state."""
@@ -61,6 +62,10 @@
         """May this hall take the request now, within its limits? None: may any server?"""
         return True
 
+    def trial(self, now_ms: float, asking: Asking) -> str:
+        """One of `barred` that this request is to try out; empty: none."""
+        return ""
+
     def lean(self, now_ms: float, server: str, cls: str) -> float:
         """The factor on a server's score in the pick, for a request of this class; above 0. It orders those
         that may take the request, and takes none away."""
@@ -97,6 +102,8 @@
         self.advisors = tuple(advisors)
         self.by_hall = any(each.by_hall for each in advisors)
         self.paces = any(each.paces for each in advisors)
+        barring = [each.barred for each in advisors if each.barred is not Advisor.barred]
+        self.barred = barring[0] if barring else frozenset()
         self._leaning = tuple(each for each in advisors if each.leans)
         self.leans = bool(self._leaning)
 
@@ -129,6 +136,9 @@
     def admits(self, now_ms: float, hall: str | None, asking: Asking) -> bool:
         return all(each.admits(now_ms, hall, asking) for each in self.advisors)
 
+    def trial(self, now_ms: float, asking: Asking) -> str:
+        return next(filter(None, (each.trial(now_ms, asking) for each in self.advisors)), "")
+
     def lean(self, now_ms: float, server: str, cls: str) -> float:
         return prod(each.lean(now_ms, server, cls) for each in self._leaning)
 
--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field, replace
 from math import ceil
 from random import Random
+from zlib import crc32
 
 from cedarcross.advice import Advisor, Asking
 from cedarcross.idle import IdleConnections
@@ -64,6 +65,7 @@
 # the usual multiple of three just its warm share of what the others get. The rest is for machines
 # slower than their fleet's mean, and for bursts.
 COLD_MARGIN = 1 / 3
+COLD_BEYOND = 2  # own in flight at servers that have started: up to it they are sent to past a full window
 RATE_WINDOWS = 4  # push windows over which what the others get is smoothed
 # A server's answers may be slower than unhurried ones by this part of the room that the slow among
 # those leave up to the aim, and by these factors at least and at most.
@@ -438,8 +440,9 @@
 class Pool:
     """Servers that are as good as each other to this proxy, and its own part of them."""
 
-    def __init__(self, settings: Settings, paced: bool = False) -> None:
-        self._proxies, self._paced = settings.proxies, paced
+    def __init__(self, settings: Settings, advisor: Advisor | None = None) -> None:
+        self._proxies, self._paced = settings.proxies, advisor is not None and advisor.paces
+        self._barred = frozenset() if advisor is None else advisor.barred
         self._start = settings.ordinal * GOLDEN % 1
         self._safety = settings.safety
         self.ring: list[Endpoint] = []  # from this proxy's place on
@@ -448,8 +451,9 @@
         self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.push_window_ms)
 
     def fill(self, endpoints: list[Endpoint]) -> None:
-        """Neighbours on the ring are of one zone and cell, so most repeats find a place in the subset."""
-        ring = sorted(endpoints, key=lambda e: (e.listed.zone, e.listed.cell, e.listed.name))
+        """Danger: neighbours of one zone are lost together, and all proxies that had them go on to the same
+        next ones. By a hash those that come next are of all zones, and others for each proxy."""
+        ring = sorted(endpoints, key=lambda e: (crc32(e.listed.name.encode()), e.listed.name))
         start = int(self._start * len(ring))
         self.ring = ring[start:] + ring[:start]
         self.size = min(len(ring), max(SUBSET_LEAST, ceil(SHARERS * len(ring) / self._proxies)))
@@ -473,7 +477,7 @@
         used: list[Endpoint] = []
         warm = 0
         for endpoint in self.ring:
-            if not endpoint.suspended(now_ms):
+            if not endpoint.suspended(now_ms) and endpoint.listed.name not in self._barred:
                 used.append(endpoint)
                 warm += endpoint.warmth(now_ms, self._safety) >= 1
                 if warm == self.size:
@@ -497,13 +501,13 @@
 class Membership:
     """The list of servers, as far as this proxy has been told."""
 
-    def __init__(self, settings: Settings, advised: bool = False, paced: bool = False) -> None:
-        self._settings, self._advised, self._paced = settings, advised, paced
+    def __init__(self, settings: Settings, advisor: Advisor | None = None) -> None:
+        self._settings, self._advisor = settings, advisor
         self._zone = settings.zone
         self._dear = settings.prices.cross_zone >= DEAR_CROSSING
         self.endpoints: dict[str, Endpoint] = {}
         # Danger: crossings that buy nothing. Where they are dear, other zones get what the own can't take.
-        self.near, self.far = Pool(settings, paced), Pool(settings, paced)
+        self.near, self.far = Pool(settings, advisor), Pool(settings, advisor)
         self.halls: dict[str, Pool] = {}  # in their place, where an advisor orders halls
         # Smoothed over all servers: what an unknown one is taken for.
         self.earned = {**{cls.name: 1.0 for cls in settings.classes}, "": 1.0}
@@ -530,10 +534,10 @@
         ready = [e for e in self.endpoints.values() if e.listed.state is EndpointState.READY]
         self.near.fill([e for e in ready if self.is_near(e)])
         self.far.fill([e for e in ready if not self.is_near(e)])
-        if self._advised:
+        if self._advisor is not None and self._advisor.by_hall:
             before, self.halls = self.halls, {}
             for hall in sorted({e.listed.zone for e in ready}):
-                self.halls[hall] = before.get(hall) or Pool(self._settings, self._paced)
+                self.halls[hall] = before.get(hall) or Pool(self._settings, self._advisor)
                 self.halls[hall].fill([e for e in ready if e.listed.zone == hall])
 
     def _remove(self, name: str) -> None:
@@ -585,7 +589,7 @@
         if endpoint.held is not None:
             held = max(endpoint.held, held)
         lean = 1.0 if self._lean is None else self._lean(now_ms, endpoint.listed.name, name)
-        return lean * endpoint.payoff(name) * endpoint.warmth(now_ms, self._safety) / (1 + held)
+        return lean * endpoint.payoff(name) / (1 + held)  # a cold one is held back by its credit already
 
 
 class Looks:
@@ -753,8 +757,7 @@
         self.attempt_budget = AttemptBudget(settings.safety.attempts)
         self.turns = KeyTurns(settings.safety.key_rest_ms)
         self.freed: deque[str] = deque()  # keys whose next request may have its turn
-        by_hall, paced = (advisor.by_hall, advisor.paces) if advisor is not None else (False, False)
-        self.membership = Membership(settings, by_hall, paced)
+        self.membership = Membership(settings, advisor)
         self.picker = Picker(self.random, settings.safety, advisor)
         self.latencies = {cls.name: ClassLatency(cls) for cls in settings.classes}
         self.requests: dict[int, Request] = {}
@@ -947,7 +950,12 @@
         if self.advisor is not None:
             asking, halls, admits = request.asking(self.now_ms), self.membership.halls, self.advisor.admits
             if not admits(self.now_ms, None, asking):
-                return False
+                # Danger: while warm servers are full the cold ones, which pace themselves, stand empty.
+                return not halls and self._try_pool(request, self.membership.near, only_cold=True)
+            trial = self.membership.endpoints.get(self.advisor.trial(self.now_ms, asking))
+            if trial is not None and self._may_send(request, trial):
+                self._send(request, trial)
+                return True
         if self.advisor is not None and halls:
             order = [h for h in self.advisor.order(self.now_ms, asking) if h in halls] or list(halls)
             return any(admits(self.now_ms, h, asking) and self._try_pool(request, halls[h]) for h in order)
@@ -959,7 +967,7 @@
             self._offer(request, far)
         return self._try_pool(request, far)
 
-    def _try_pool(self, request: Request, pool: Pool) -> bool:
+    def _try_pool(self, request: Request, pool: Pool, only_cold: bool = False) -> bool:
         if not pool.gate.admits(request.class_name, request.work):
             return False
         allowed = self._drawn(request, pool) if pool.size > WALKED else []
@@ -967,6 +975,11 @@
             allowed = self._allowed(request, pool.in_use(self.now_ms))
         if not allowed and request.attempts:
             allowed = self._allowed(request, pool.ring)  # a repeat that only some servers drop
+        if only_cold:
+            allowed = [e for e in allowed if e.warmth(self.now_ms, self.settings.safety) < 1]
+            # Danger: credit for one request at each of many cold servers, and all of it spent at once.
+            if sum(e.in_flight for e in pool.ring if e.listed.started_ms is not None) >= COLD_BEYOND:
+                return False
         tried = [a.endpoint for a in request.attempts]
         # A retry goes elsewhere; with nowhere else to go, back to where it failed.
         allowed = [e for e in allowed if e not in tried] or allowed
@@ -993,8 +1006,9 @@
         return found[tried:]
 
     def _allowed(self, request: Request, endpoints: list[Endpoint]) -> list[Endpoint]:
-        name = request.class_name
-        return [e for e in endpoints if e.has_room(self.now_ms, name) and self._may_send(request, e)]
+        name, barred = request.class_name, () if self.advisor is None else self.advisor.barred
+        fit = [e for e in endpoints if e.has_room(self.now_ms, name) and e.listed.name not in barred]
+        return [e for e in fit if self._may_send(request, e)]
 
     def _hold(self, request: Request) -> None:
         """Danger: sent to full servers, work queues there until it is late, and jams them. It waits
@@ -1096,6 +1110,8 @@
             # Where all are cold, somebody must begin: with this proxy's part of what would be too much.
             ahead_ms = 0.0 if pool.has_warm(self.now_ms) else safety.push_window_ms / COLD_MARGIN
             endpoint.cold_credit_ms = self.now_ms - ahead_ms
+            # Danger: of many proxies with little each, none would send anything for seconds, and then all.
+            endpoint.cold_credit = self.random.random() * request.work
         # Credit for half a window at most: no bursts.
         most = max(rate * safety.push_window_ms / 2, request.work)
         endpoint.cold_credit = min(
@@ -1222,7 +1238,7 @@
         if outcome in ANSWERED_BADLY:
             attempt.endpoint.waiting_since_ms = self.now_ms  # it is not silent
         longest_ms = LONGEST_PAUSE * self.longest_deadline_ms
-        if unheard and pool.crowdable():  # one of many proxies meets a server too rarely to wait for a second
+        if unheard and pool.sharers() > CROWD:  # one of many meets a server too rarely to wait for a second
             attempt.endpoint.failed(self.now_ms, usual.base_ms, longest_ms)
         else:
             attempt.endpoint.erred(self.now_ms, cls.name, self.membership.errors, usual.base_ms, longest_ms)
--- a/cedarcross/limits/crowding.py
+++ b/cedarcross/limits/crowding.py
@@ -19,8 +19,12 @@
 
 MEMORY_MS = 6000.0  # what a server told longer ago says nothing of now
 LOST_GAIN = 0.15  # about the last seven attempts
-MOST_LOST = 0.5  # with a larger share unanswered the servers are behind
+MOST_LOST = 0.5  # with a larger share unanswered the servers are behind,
+LOST_MS = 1000.0  # unless one has answered within this, and they hold no more than this many times what they
+NO_CROWD = 1.8  # work on: then it is the way to some of them that is cut
 SLOW_GAIN = 0.1  # about a server's last ten answers
+LEAST_WORKING = 0.5
+MOST_STRETCH = 10.0  # of one server: what it works on is the difference of two noisy figures
 SLOW_ROOM = 2.5  # answers so many times slower than their report allows show that it is wrong
 
 
@@ -64,7 +68,7 @@
             return self._full if waiting > 0 or not self._reported else None
         if outcome is Outcome.TIMEOUT:
             self._lost += LOST_GAIN * (1.0 - self._lost)
-            return self._full if self._lost > MOST_LOST else None
+            return self._full if self._lost > MOST_LOST and not self._at_ease(now_ms) else None
         if outcome is not Outcome.OK:
             return None
         self._lost -= LOST_GAIN * self._lost
@@ -79,13 +83,19 @@
             seen.working = max(0.0, seen.held - max(0.0, told.get("queue", 0.0)))
         return self.stretch(now_ms)
 
+    def _at_ease(self, now_ms: float) -> bool:
+        """Danger: cut off from two halls of three an instance loses most of what it sends, while the servers
+        of the third have room."""
+        fresh = any(seen.at_ms > now_ms - LOST_MS for seen in self._seen.values())
+        return self._reported and fresh and self.stretch(now_ms) < NO_CROWD
+
     def heard(self, now_ms: float) -> bool:
         """Has any server answered lately?"""
         return any(seen.at_ms > now_ms - MEMORY_MS for seen in self._seen.values())
 
     def stretch(self, now_ms: float) -> float:
-        """Of all servers heard of lately, as one: what they hold over what they work on."""
-        held = working = slow = weights = 0.0
+        """Of a server heard of lately, in the mean: what it holds over what it works on."""
+        stretches = told = slow = weights = 0.0
         for seen in self._seen.values():
             # Fresh news counts for more: an instance that holds back hears of few servers, and what the
             # others told when they were full must not keep it back for long.
@@ -94,13 +104,17 @@
                 continue
             weights += weight
             slow += weight * seen.slowness
-            if seen.working <= 0:
+            if not self._reported:
                 continue
             # Danger: a server that tells wrongly that it is idle draws work until it chokes.
-            own = max(seen.held / seen.working, seen.slowness / SLOW_ROOM)
-            held += weight * own * seen.working
-            working += weight * seen.working
-        if working > 0:
-            return max(1.0, held / working)
+            own = max(1.0, seen.slowness / SLOW_ROOM)
+            if seen.held > 0:
+                own = max(own, seen.held / max(LEAST_WORKING, seen.working))
+            # Danger: summed by what they work on, a few jammed servers outweigh many idle ones, which work on
+            # next to nothing, and everything is refused while most of the fleet stands empty.
+            stretches += weight * min(MOST_STRETCH, own)
+            told += weight
+        if told > 0:
+            return max(1.0, stretches / told)
         # Without reports: slowness, which grows with the crowd as the stretch does, but is noisier.
         return max(1.0, slow / weights) if weights else 1.0
--- a/cedarcross/limits/overload.py
+++ b/cedarcross/limits/overload.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
+from dataclasses import replace
 from random import Random
 
 from cedarcross.advice import Advisor, Asking
@@ -22,6 +23,10 @@
 FIRST_HELD = 16.0
 # Where that is less than one request an instance, they are too many to find out in time, and begin with less.
 FIRST_DUTY = 8.0
+# Of the target, where there are more instances than servers. Danger: they hear of a crowd late and load
+# servers unevenly, so that some are past the point where they choke while all hold what is stated together.
+SHARED = 0.7
+LEAST_TARGET = 1.3
 FULL_TIMES = 2.0  # a refusal for want of room counts as this many times the target
 HOLD_PART = 0.5  # of the shortest aim: as many are held as leave in that time
 QUIET = 0.999  # a share from which on nothing is turned away
@@ -32,8 +37,16 @@
 
     paces = True
 
-    def __init__(self, stated: OverloadSettings, settings: Settings, seed: int = 0) -> None:
+    def __init__(
+        self,
+        stated: OverloadSettings,
+        settings: Settings,
+        seed: int = 0,
+        barred: Set[str] = frozenset(),
+    ) -> None:
+        """`barred`: servers that another advisor leaves out; the same set throughout."""
         self._stated = stated
+        self._barred, self._were_barred = barred, 0
         self._proxies = settings.proxies
         limits = settings.limits
         self._most_back_ms = limits.max_retry_after_ms if limits.retry_after else 0.0
@@ -43,24 +56,56 @@
         self.window: Window | Duty = Window(stated.window())
         self._shortest_ms = min((cls.aim_ms for cls in settings.classes), default=1000.0)
         self._begun = False
+        self._ready: set[str] = set()
+        self._safety = settings.safety
+        self._bore = 0.0  # by the list as it was
+        self._endpoints: Sequence[ListedEndpoint] = ()
         self._shedding = False
         self._changes: list[str] = []
 
     # What it is told
 
     def listed(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
-        self.crowding.forget({each.name for each in endpoints})
-        ready = sum(1 for each in endpoints if each.state is EndpointState.READY)
+        # Danger: what a draining server still holds says nothing of where new requests go.
+        self._ready = {each.name for each in endpoints if each.state is EndpointState.READY}
+        self.crowding.forget(self._ready)
+        ready = len(self._ready)
         if ready and not self._begun:
             self._begun = True
             if FIRST_HELD * ready < self._proxies:
                 self.window = Duty(self._stated.window(), FIRST_DUTY * ready / self._proxies)
             else:
-                begun = Window(self._stated.window())
+                stated = self._stated.window()
+                if self._proxies > ready:
+                    stated = replace(stated, target=max(LEAST_TARGET, SHARED * stated.target))
+                begun = Window(stated)
                 begun.begin(FIRST_HELD * ready / self._proxies)
                 self.window = begun
         elif isinstance(self.window, Duty):
             self.window.resized(FIRST_DUTY * ready / self._proxies)
+        self._bearing(now_ms, endpoints)
+
+    def _bearing(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
+        """What all servers bear together has changed with the list, as far as it tells."""
+        self._endpoints = endpoints
+        self._were_barred = len(self._barred)
+        ready = [each for each in endpoints if each.state is EndpointState.READY]
+        if 2 * len(self._barred) < len(ready):
+            # Danger: what went to servers that are lost goes to the others now, and they choke. With most out
+            # of reach it is the instance that is cut off, and those that it has left have lost the others.
+            ready = [each for each in ready if each.name not in self._barred]
+        bearing = sum(self._warmth(now_ms, each) for each in ready)
+        if bearing and self._bore and isinstance(self.window, Window):
+            self.window.resized(bearing / self._bore)
+        self._bore = bearing or self._bore
+
+    def _warmth(self, now_ms: float, endpoint: ListedEndpoint) -> float:
+        """The share of its capacity that it surely has."""
+        safety = self._safety
+        if endpoint.started_ms is None or safety.cold_ms <= 0:
+            return 1.0
+        age = max(0.0, now_ms - endpoint.started_ms) / safety.cold_ms
+        return min(1.0, safety.cold_share + (1.0 - safety.cold_share) * age)
 
     def sent(self, now_ms: float, endpoint: ListedEndpoint, asking: Asking) -> None:
         self.window.sent(now_ms, asking.work)
@@ -77,7 +122,9 @@
         cls: RequestClass | None = None,
     ) -> None:
         self.window.ended(now_ms, took_ms if outcome is Outcome.OK else None)
-        stretch = self.crowding.told(now_ms, endpoint.name, outcome, slowness, report)
+        stretch = None
+        if endpoint.name in self._ready:
+            stretch = self.crowding.told(now_ms, endpoint.name, outcome, slowness, report)
         if stretch is not None:
             self.window.told(now_ms, stretch)
         if self._shedding != (self.window.share < QUIET):
@@ -88,6 +135,8 @@
     # What it is asked
 
     def takes(self, now_ms: float, asking: Asking) -> bool:
+        if len(self._barred) != self._were_barred:
+            self._bearing(now_ms, self._endpoints)
         name = asking.cls.name if asking.cls is not None else ""
         self.admission.asked(name, asking.work)
         self.window.asked(now_ms, asking.work)
--- a/cedarcross/limits/window.py
+++ b/cedarcross/limits/window.py
@@ -24,6 +24,8 @@
 IDLE_GROWTH = 3.5  # by so much of itself as well,
 IDLE_SHARE_GROWTH = 0.15  # and a share by this
 FAIR = 0.2  # more of the target for the smallest windows, so that those of unequal size come to be alike
+FIRST_PART = 0.25  # of what it began with, by which a window grows in a second at the least. Danger: cut to a
+# tenth while servers were full, it would refuse for ten times as long as they were.
 SHARE_PART = 0.3  # of the growth of a window, by which a share grows
 UNUSED_S = 5.0  # time constant of taking back what is not used
 SPARE = 2.0  # so many times what is used is kept, for bursts
@@ -46,6 +48,7 @@
     def __init__(self, stated: WindowSettings) -> None:
         self._stated = stated
         self.size = 1.0
+        self._growth = stated.growth
         self.under_way = 0
         self.round_ms = 0.0  # what an attempt takes, smoothed
         self._told_ms = 0.0
@@ -56,8 +59,14 @@
     def begin(self, size: float) -> None:
         """What it starts from, once the servers are known: this instance's part of what they hold."""
         self.size = max(1.0, size)
+        self._growth = self._stated.growth * max(1.0, FIRST_PART * self.size)
         self._used = self.size / SPARE
 
+    @property
+    def target(self) -> float:
+        """The stretch up to which servers are fed."""
+        return self._stated.target
+
     @property
     def usual_ms(self) -> float:
         """What an attempt takes, as far as is known."""
@@ -73,6 +82,11 @@
         """Of the work offered, what may be taken on."""
         return min(1.0, self.size)
 
+    def resized(self, times: float) -> None:
+        """Servers have come or gone: together they bear so many times what they bore. Danger: a third of them
+        drains, and that is heard of by queues only, when those that are left are past what they bear."""
+        self.size = max(self._stated.least, self.size * times)
+
     def beyond(self, ahead: float) -> float:
         """Requests by which the worthier may go beyond it. `ahead`: 1 for the worthiest, 0 for the last."""
         return ahead * (BEYOND * self.size + BEYOND_MORE) if self.size >= 1.0 else 0.0
@@ -127,7 +141,7 @@
         elif self._bound:  # only a window that binds is found too small
             # Additive, so that windows of unequal size come to be alike; but where servers idle there is
             # nothing to share out yet.
-            growth = stated.growth * (1.0 if self.size > 1.0 else SHARE_PART)
+            growth = self._growth * (1.0 if self.size > 1.0 else SHARE_PART)
             if stretch <= IDLE:
                 growth += IDLE_GROWTH * self.size if self.size > 1.0 else IDLE_SHARE_GROWTH
             self.size += min(LONGEST_SPAN_S, span_s) * min(1.0, 2.0 * room) * growth
--- a/cedarcross/operators.py
+++ b/cedarcross/operators.py
@@ -8,13 +8,16 @@
 from typing import TYPE_CHECKING
 
 from cedarcross.advice import Advisor, Composed
+from cedarcross.extras import lacking
 from cedarcross.interface import Settings
 from cedarcross.limits.overload import Overload
 from cedarcross.limits.settings import OverloadSettings, read_overload
+from cedarcross.reach.advisor import ReachAdvisor
+from cedarcross.reach.settings import ReachSettings, read_reach
 from cedarcross.routing.halls import Halls
 from cedarcross.routing.places import ConnectionSettings, read_connections
 from cedarcross.routing.settings import HallSettings, read_halls
-from cedarcross.tomlfile import File, read_text
+from cedarcross.tomlfile import File, TomlError, read_text
 
 if TYPE_CHECKING:
     from cedarcross.membership.node import GossipSettings
@@ -28,19 +31,23 @@
     overload: OverloadSettings | None = None
     gossip: GossipSettings | None = None
     connections: ConnectionSettings | None = None
+    reach: ReachSettings | None = None
 
     @property
     def advises(self) -> bool:
-        return self.halls is not None or self.overload is not None
+        return any(each is not None for each in (self.halls, self.overload, self.reach))
 
     def advisor(self, settings: Settings, seed: int, lasting: Sequence[Advisor] = ()) -> Advisor | None:
         """A new one, for one life of a balancer; None: nothing is stated. Admission comes before halls: what
         is not taken on needs no place. `lasting`: advisors that outlive balancers; they come last."""
         made: list[Advisor] = []
+        reach = ReachAdvisor(self.reach, settings, seed) if self.reach is not None else None
         if self.overload is not None:
-            made.append(Overload(self.overload, settings, seed))
+            made.append(Overload(self.overload, settings, seed, reach.barred if reach else frozenset()))
         if self.halls is not None:
             made.append(Halls(self.halls, settings))
+        if reach is not None:
+            made.append(reach)
         made += lasting
         return made[0] if len(made) == 1 else Composed(made) if made else None
 
@@ -55,15 +62,20 @@
     halls = read_halls(top.table("halls")) if top.has("halls") else None
     overload = read_overload(top.table("overload")) if top.has("overload") else None
     connections = read_connections(top.table("connections")) if top.has("connections") else None
+    reach = read_reach(top.table("reach")) if top.has("reach") else None
     gossip: GossipSettings | None = None
     if top.has("gossip"):
+        # Danger: found out by each of 300 rehearsed daemons, it fills the screen 300 times.
+        lacks = lacking("[gossip]", "gossip", "cryptography")
+        if lacks:
+            raise TomlError(f"{name}: {lacks}")
         # Not at the top: a daemon without the table starts without the package.
         from cedarcross.membership.settings import read_gossip
 
         gossip = read_gossip(top.table("gossip"))
     top.end()
     file.done()
-    return Operators(halls, overload, gossip, connections)
+    return Operators(halls, overload, gossip, connections, reach)
 
 
 def load_operators(path: str | Path) -> Operators:
--- /dev/null
+++ b/cedarcross/reach/advisor.py
@@ -0,0 +1,47 @@
+"""The reach of servers, as an advisor of one balancer. No I/O, no clock."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence, Set
+
+from cedarcross.advice import Advisor, Asking
+from cedarcross.interface import Idempotency, ListedEndpoint, Outcome, RequestClass, Settings
+from cedarcross.reach.barring import Reach
+from cedarcross.reach.settings import ReachSettings
+
+
+class ReachAdvisor(Advisor):
+    """Puts together what the files beside it decide."""
+
+    def __init__(self, stated: ReachSettings, settings: Settings, seed: int = 0) -> None:
+        self.reach = Reach(1000.0 * stated.trial_s, 1000.0 * stated.longest_trial_s, stated.most_barred, seed)
+        self.barred: Set[str] = self.reach.barred
+
+    def listed(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
+        self.reach.listed(endpoints)
+
+    def trial(self, now_ms: float, asking: Asking) -> str:
+        if asking.failed_in:
+            return ""
+        repeatable = asking.cls is not None and asking.cls.idempotency is not Idempotency.UNSAFE
+        return self.reach.trial(now_ms, repeatable)
+
+    def sent(self, now_ms: float, endpoint: ListedEndpoint, asking: Asking) -> None:
+        self.reach.sent(now_ms, endpoint.name)
+
+    def ended(
+        self,
+        now_ms: float,
+        endpoint: ListedEndpoint,
+        outcome: Outcome,
+        slowness: float,
+        in_time: bool,
+        report: tuple[float, ...] | None,
+        took_ms: float = 0.0,
+        cls: RequestClass | None = None,
+    ) -> None:
+        self.reach.ended(now_ms, endpoint.name, outcome, took_ms)
+
+    def changes(self) -> Sequence[str]:
+        told, self.reach.changes = self.reach.changes, []
+        return told
--- /dev/null
+++ b/tests/emulator/test_cut.py
@@ -0,0 +1,153 @@
+"""Cuts between some proxies and some servers, lost answers, and instances that leave out what they lose."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import cache
+from pathlib import Path
+
+import pytest
+
+from cedarcross.emulator.day import load
+from cedarcross.emulator.ledger import Fate
+from cedarcross.emulator.record_server import RecordServer
+from cedarcross.emulator.report import Report, report
+from cedarcross.emulator.stage import Played, Stage, play_virtual
+from cedarcross.operators import parse_operators
+from tests.emulator.test_troubles import Raw, on_both_clocks, request, until
+from tests.rigs.days import incident, played
+
+DAYS = Path(__file__).parents[2] / "examples" / "days"
+
+
+def test_a_cut_parts_one_proxy_and_not_the_other_and_what_was_sent_arrives_after_it() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        here = await Raw.dial(server.doors[0].address)
+        await until(lambda: len(server.connections) == 1)
+        server.part_from((0,))
+        here.transport.write(request("t0"))
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await Raw.dial(server.doors[0].address)
+        there = await Raw.dial(server.doors[1].address)
+        there.transport.write(request("t1"))
+        assert await there.answer() == 200
+        assert [a.id for a in stage.ledger.arrivals] == ["t1"]
+        server.meet_again((0,))
+        assert await here.answer() == 200
+        for each in (here, there):
+            each.transport.abort()
+
+    on_both_clocks(script)
+
+
+def test_an_answer_that_the_cut_falls_on_comes_after_it() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        here = await Raw.dial(server.doors[0].address)
+        here.transport.write(request("t0"))
+        await until(lambda: len(stage.ledger.arrivals) == 1)
+        server.part_from((0,))
+        await until(lambda: stage.ledger.arrivals[0].fate is Fate.RAN)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await here.reader.readexactly(1)
+        server.meet_again((0,))
+        assert await here.answer() == 200
+        here.transport.abort()
+
+    on_both_clocks(script)
+
+
+def test_two_cuts_at_once_are_over_with_the_last_and_outlive_a_restart() -> None:
+    async def script(stage: Stage, server: RecordServer) -> None:
+        server.part_from((0,))
+        server.part_from((0, 1))
+        server.meet_again((0, 1))
+        assert server.parted == {0}
+        server.die()
+        server.start(cold=False)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await Raw.dial(server.doors[0].address)
+        server.meet_again((0,))
+        (await Raw.dial(server.doors[0].address)).transport.abort()
+
+    on_both_clocks(script)
+
+
+def crossings(of: Played, from_s: float, to_s: float) -> int:
+    """Requests that came to a server from a proxy of another hall."""
+    inside = [a for a in of.ledger.arrivals if from_s <= a.arrived_s - of.start_s < to_s]
+    return sum(of.specs[a.server].hall != of.day.hall_of(a.proxy) for a in inside)
+
+
+def test_a_hall_that_is_cut_off_keeps_its_own_and_meets_no_other() -> None:
+    result, of = played(incidents=incident("cut", 2.0, for_s=2.0, hall="west"), length_s=8.0)
+    assert crossings(result, 0.0, 1.99) > 0 and crossings(result, 5.0, 8.0) > 0
+    assert crossings(result, 2.01, 3.99) == 0
+    inside = [a for a in result.ledger.arrivals if 2.01 <= a.arrived_s - result.start_s < 3.99]
+    assert {result.specs[a.server].hall for a in inside} == {"east", "west"}
+    assert not of.broken
+
+
+def test_named_proxies_lose_touch_with_named_servers() -> None:
+    cut = incident("cut", 1.0, for_s=3.0, servers=["east-1"], proxies=[1])
+    result, _ = played(incidents=cut)
+    at = {
+        a.proxy
+        for a in result.ledger.arrivals
+        if a.server == "east-1" and 1.1 < a.arrived_s - result.start_s < 3.9
+    }
+    assert at == {0}
+
+
+def test_a_lost_answer_is_of_a_request_that_ran() -> None:
+    result, of = played(
+        incidents=incident("fail", 1.0, for_s=4.0, servers=["east-1"], share=0.3, mode="lost")
+    )
+    lost = [a for a in result.ledger.arrivals if a.unheard]
+    assert len(lost) >= 2 and all(a.fate in (Fate.RAN, Fate.REPEAT) and not a.answered for a in lost)
+    assert not of.broken
+
+
+# Leaving out what is out of reach, over whole daemons
+
+
+@cache
+def with_table(name: str, table: str) -> tuple[Played, Report]:
+    operators = parse_operators("[overload]\n[connections]\n" + table, "operators.toml")
+    result = play_virtual(load(DAYS / name), operators=operators)
+    return result, report(result)
+
+
+def parted(of: Played, from_s: float, to_s: float) -> int:
+    """Requests that went over the cut."""
+    inside = [a for a in of.ledger.arrivals if from_s <= a.arrived_s - of.start_s < to_s]
+    return sum(
+        (of.specs[a.server].hall == "mladost") != (of.day.hall_of(a.proxy) == "mladost") for a in inside
+    )
+
+
+def test_a_third_cut_off_is_left_out_by_all_and_found_again() -> None:
+    off, on = with_table("split-many.toml", ""), with_table("split-many.toml", "[reach]\n")
+    assert not off[1].broken and not on[1].broken
+
+    def failed(of: Played) -> int:
+        """Requests not served that began in the last three seconds of the cut."""
+        asked = [e for e in of.ledger.logical if 5.0 <= e.asked_s - of.start_s < 8.0]
+        return sum(e.outcome != "served" for e in asked)
+
+    assert failed(on[0]) < 0.75 * failed(off[0])
+    assert on[1].served_share > off[1].served_share
+    assert parted(off[0], 3.1, 7.9) == parted(on[0], 3.1, 7.9) == 0 < parted(on[0], 10.0, 13.0)
+
+
+def test_a_lost_hall_that_comes_back_cold_is_fed_again() -> None:
+    result, of = with_table("lost-many.toml", "[reach]\n")
+    assert not of.broken
+    back = [
+        a
+        for a in result.ledger.arrivals
+        if result.specs[a.server].hall == "lyulin" and 11.0 <= a.arrived_s - result.start_s < 14.0
+    ]
+    assert len({a.server for a in back}) >= 5
--- a/tests/limits/test_overload.py
+++ b/tests/limits/test_overload.py
@@ -21,7 +21,7 @@
     Send,
 )
 from cedarcross.limits.duty import Duty
-from cedarcross.limits.overload import Overload
+from cedarcross.limits.overload import SHARED, Overload
 from cedarcross.limits.settings import OverloadSettings
 from cedarcross.limits.window import Window
 from cedarcross.operators import Operators, parse_operators
@@ -99,10 +99,45 @@
         if request in made.sent:
             made.tell(AttemptEnded(request, 0, Outcome.OK, 50.0, answered=True, report=IDLE))
         assert made.now_ms - began < 10_000.0
+    request, _ = made.request("unsafe")
+    made.tell(AttemptEnded(request, 0, Outcome.OK, 50.0, answered=True, report=IDLE))
     told = [a.text for a in made.log if hasattr(a, "text")]
     assert any("servers are full" in text for text in told) and any("have room" in text for text in told)
 
 
+def test_a_window_cut_while_servers_were_full_is_back_soon_after() -> None:
+    """Danger: a second of crowd, and ten of refusals before idle servers."""
+    began: dict[int, float] = {}
+    for ready in (2, 6):  # an instance's part is 5 requests, and 16
+        window = Window(OverloadSettings().window())
+        window.begin(16.0 * ready / 6.0)
+        for step in range(20):
+            window.told(step * 100.0, 5.4)
+        assert window.size < 0.1 * window_part(ready)
+        now_ms = 2000.0
+        while window.size < 0.5 * window_part(ready):
+            now_ms += 100.0
+            window.full(now_ms, -1e9)
+            window.told(now_ms, 1.5)  # neither idle nor crowded
+        began[ready] = now_ms - 2000.0
+    assert max(began.values()) < 6000.0 and began[6] < 2.0 * began[2]
+
+
+def window_part(ready: int) -> float:
+    return 16.0 * ready / 6.0
+
+
+def test_with_more_instances_than_servers_these_are_fed_less() -> None:
+    def target(proxies: int) -> float:
+        made = driver(ON, replace(PLAIN, proxies=proxies))
+        window = overload(made).window
+        assert isinstance(window, Window)
+        return window.target
+
+    assert target(6) == OverloadSettings().target
+    assert target(7) == pytest.approx(SHARED * OverloadSettings().target)
+
+
 def test_no_request_is_held_past_the_moment_when_it_could_be_in_time() -> None:
     made = driver(ON)
     overload(made).window.size = 1.0
