--- /dev/null
+++ b/tests/limits/test_fleet_days.py
@@ -0,0 +1,184 @@
+"""What a whole fleet's days taught, each by itself on the decisions alone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from cedarcross.advice import Asking
+from cedarcross.balance import COLD_BEYOND, Balancer
+from cedarcross.interface import (
+    AttemptEnded,
+    EndpointsListed,
+    EndpointState,
+    ListedEndpoint,
+    ListKind,
+    Outcome,
+)
+from cedarcross.limits.crowding import Crowding
+from cedarcross.limits.overload import Overload
+from cedarcross.limits.settings import OverloadSettings
+from cedarcross.limits.window import Window
+from cedarcross.operators import Operators
+from tests.driver import SETTINGS, Driver, endpoint
+
+FIELDS = ("inflight", "queue", "latency_ms")
+MANY = replace(SETTINGS, proxies=60, report_fields=FIELDS)
+FLEET = [endpoint(f"s{n}", zone="abc"[n % 3]) for n in range(24)]
+ON = Operators(overload=OverloadSettings())
+IDLE, JAMMED = (0.6, 0.0, 40.0), (20.0, 16.0, 400.0)
+
+
+def driver(fleet: list[ListedEndpoint] | None = None, operators: Operators = ON) -> Driver:
+    made = Driver(MANY, ())
+    made.balancer = Balancer(MANY, 1, operators.advisor(MANY, 1))
+    made.tell(EndpointsListed(ListKind.FULL, tuple(FLEET if fleet is None else fleet)))
+    return made
+
+
+def overload(made: Driver) -> Overload:
+    advisor = made.balancer.advisor
+    assert isinstance(advisor, Overload)
+    return advisor
+
+
+def window(made: Driver) -> Window:
+    held = overload(made).window
+    assert isinstance(held, Window)
+    return held
+
+
+def test_a_few_jammed_servers_among_many_idle_ones_are_no_crowd() -> None:
+    crowding = Crowding(FIELDS, 5.4)
+    for n in range(10):
+        crowding.told(float(n), f"s{n}", Outcome.OK, 1.0, JAMMED if n < 2 else IDLE)
+    # By the sum of what they hold over what they work on it would be 3.5.
+    assert crowding.stretch(10.0) < 2.0
+
+
+def test_one_servers_noisy_figures_do_not_decide_for_all() -> None:
+    crowding = Crowding(FIELDS, 5.4)
+    for n in range(10):
+        crowding.told(float(n), f"s{n}", Outcome.OK, 1.0, (30.0, 30.0, 40.0) if n == 0 else IDLE)
+    assert crowding.stretch(10.0) < 2.0
+
+
+def test_what_a_draining_server_still_holds_says_nothing() -> None:
+    made = driver()
+    draining = [replace(e, state=EndpointState.DRAINING) if e.name in ("s0", "s1") else e for e in FLEET]
+    made.tell(EndpointsListed(ListKind.FULL, tuple(draining)))
+    advisor = overload(made)
+    for step in range(40):
+        advisor.window.under_way += 1
+        at_ms = made.now_ms + 50.0 * step
+        advisor.ended(at_ms, draining[step % 2], Outcome.OK, 5.0, False, JAMMED, 400.0)
+    assert advisor.crowding.stretch(made.now_ms + 2000.0) == 1.0
+    assert len(advisor.crowding) == 0
+
+
+def test_what_a_server_told_before_its_drain_is_forgotten() -> None:
+    made = driver()
+    advisor = overload(made)
+    for step in range(8):
+        advisor.window.under_way += 1
+        advisor.ended(made.now_ms + step, FLEET[step % 2], Outcome.OK, 5.0, False, JAMMED, 400.0)
+    assert advisor.crowding.stretch(made.now_ms + 10.0) > 2.0
+    draining = [replace(e, state=EndpointState.DRAINING) if e.name in ("s0", "s1") else e for e in FLEET]
+    advisor.listed(made.now_ms + 10.0, draining)
+    assert advisor.crowding.stretch(made.now_ms + 10.0) == 1.0
+
+
+def test_a_window_shrinks_with_the_servers_that_drain_and_grows_with_those_that_come() -> None:
+    made = driver()
+    before = window(made).size
+    gone = [replace(e, state=EndpointState.DRAINING) if n < 8 else e for n, e in enumerate(FLEET)]
+    made.tell(EndpointsListed(ListKind.FULL, tuple(gone)))
+    assert window(made).size == pytest.approx(before * 2 / 3)
+    fresh = [endpoint(f"new{n}", started_ms=made.now_ms) for n in range(8)]
+    made.tell(EndpointsListed(ListKind.FULL, (*gone, *fresh)))
+    # Cold ones count for what they surely bear: a fifth.
+    assert window(made).size == pytest.approx(before * (16 + 8 * 0.2) / 24)
+    for _ in range(50):  # the same list again changes nothing
+        made.tell(EndpointsListed(ListKind.FULL, (*gone, *fresh)))
+    assert window(made).size == pytest.approx(before * (16 + 8 * 0.2) / 24)
+
+
+def test_servers_that_are_left_out_count_as_gone_unless_they_are_most() -> None:
+    barred: set[str] = set()
+    advisor = Overload(OverloadSettings(), MANY, 1, barred)
+    advisor.listed(0.0, FLEET)
+    held = advisor.window
+    assert isinstance(held, Window)
+    before = held.size
+    barred |= {f"s{n}" for n in range(6)}
+    advisor.takes(1.0, Asking(None))
+    assert held.size == pytest.approx(before * 18 / 24)
+    barred |= {f"s{n}" for n in range(18)}
+    advisor.takes(2.0, Asking(None))
+    assert held.size == pytest.approx(before)
+
+
+def test_cold_servers_are_fed_while_the_window_is_full_and_no_more_than_a_few_at_once() -> None:
+    made = driver()
+    made.serve(60)
+    fresh = [endpoint(f"new{n}", started_ms=made.now_ms) for n in range(12)]
+    made.tell(EndpointsListed(ListKind.FULL, (*FLEET, *fresh)))
+    for known in made.balancer.membership.endpoints.values():
+        known.limit = 50.0
+        known.cold_credit, known.cold_credit_ms = 1e6, made.now_ms  # more than is spent here
+    held = window(made)
+    held.size = 3.0
+    held.under_way += 100  # full, for the worthiest too
+    for _ in range(20):
+        made.request("unsafe")
+    cold = {e.name for e in fresh}
+    out = {e.listed.name: e.in_flight for e in made.balancer.membership.endpoints.values() if e.in_flight}
+    assert set(out) <= cold and sum(out.values()) == COLD_BEYOND
+
+
+def test_a_cold_server_is_drawn_by_payoff_alone_its_credit_holds_it_back() -> None:
+    """Danger: discounted twice it stands empty beside warm ones that are full."""
+    made = Driver(replace(MANY, proxies=3), FLEET[:4])
+    made.serve(40)
+    cold = endpoint("new", started_ms=made.now_ms)
+    made.tell(EndpointsListed(ListKind.FULL, (*FLEET[:4], cold)))
+    membership, picker = made.balancer.membership, made.balancer.picker
+    new, old = membership.endpoints["new"], membership.endpoints["s0"]
+    ratio = picker.score(made.now_ms, new, "safe") / picker.score(made.now_ms, old, "safe")
+    assert ratio == pytest.approx(new.payoff("safe") / old.payoff("safe"))
+
+
+def test_a_cut_of_most_of_the_fleet_leaves_the_window_as_it_is() -> None:
+    """Danger: cut off from two halls of three, an instance takes its losses for a crowd."""
+    made = driver()
+    advisor, before = overload(made), window(made).size
+    at_ms = made.now_ms
+    for step in range(60):
+        at_ms += 50.0
+        advisor.window.under_way += 1
+        outcome = Outcome.OK if step % 4 == 0 else Outcome.TIMEOUT
+        report = IDLE if outcome is Outcome.OK else None
+        advisor.ended(at_ms, FLEET[step % 24], outcome, 1.0, True, report, 50.0)
+    assert window(made).size >= 0.8 * before  # a little goes, as it is not used
+
+
+def test_a_crowd_still_cuts_it() -> None:
+    made = driver()
+    advisor, before = overload(made), window(made).size
+    at_ms = made.now_ms
+    for step in range(60):
+        at_ms += 50.0
+        advisor.window.under_way += 1
+        outcome = Outcome.OK if step % 4 == 0 else Outcome.TIMEOUT
+        report = JAMMED if outcome is Outcome.OK else None
+        advisor.ended(at_ms, FLEET[step % 24], outcome, 5.0, False, report, 400.0)
+    assert window(made).size < 0.3 * before
+
+
+def test_unused_attempt_events_do_not_reach_the_window_twice() -> None:
+    made = driver()
+    request, _ = made.request()
+    made.tell(AttemptEnded(request, 0, Outcome.OK, 50.0, answered=True, report=IDLE))
+    made.tell(AttemptEnded(request, 0, Outcome.OK, 50.0, answered=True, report=IDLE))
+    assert window(made).under_way == 0
--- a/tests/reach/test_advisor.py
+++ b/tests/reach/test_advisor.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cedarcross.advice import Advisor, Composed
+from cedarcross.advice import Advisor, Asking, Composed
 from cedarcross.balance import Balancer
 from cedarcross.interface import AttemptEnded, EndpointsListed, EndpointState, ListKind, Outcome
 from cedarcross.operators import Operators, parse_operators
@@ -86,6 +86,50 @@
     assert fresh and not any(server[0] in "bc" for server in fresh)
 
 
+class Bars(Advisor):
+    """Leaves out a hall, and has one server tried."""
+
+    def __init__(self, hall: str, tried: str = "") -> None:
+        self.barred = {e.name for e in FLEET if e.zone == hall}
+        self.tried = tried
+
+    def trial(self, now_ms: float, asking: Asking) -> str:
+        return self.tried
+
+
+def barring(advisor: Advisor, proxies: int) -> Driver:
+    plain = replace(MANY, proxies=proxies)
+    made = Driver(plain, ())
+    made.balancer = Balancer(plain, 1, advisor)
+    made.tell(EndpointsListed(ListKind.FULL, tuple(FLEET)))
+    return made
+
+
+@pytest.mark.parametrize("proxies", [3, 120])
+def test_nothing_goes_to_what_is_left_out_be_the_pool_walked_or_drawn_from(proxies: int) -> None:
+    made = barring(Bars("a"), proxies)
+    made.serve(300)
+    assert not any(server.startswith("a") for servers in made.sent.values() for server in servers)
+
+
+def test_others_take_the_place_of_what_is_left_out() -> None:
+    made = barring(Bars("a"), 120)
+    pool = made.balancer.membership.near
+    used = pool.in_use(made.now_ms)
+    assert len(used) == pool.size and not any(e.listed.zone == "a" for e in used)
+
+
+def test_the_guard_stands_behind_a_trial_whatever_is_named() -> None:
+    """Danger: a trial at a server that drains."""
+    made = barring(Bars("a", "a0"), 120)
+    made.serve(1)
+    assert made.sent[1] == ["a0"]
+    draining = [replace(e, state=EndpointState.DRAINING) if e.name == "a0" else e for e in FLEET]
+    made.tell(EndpointsListed(ListKind.FULL, tuple(draining)))
+    made.serve(20)
+    assert not any("a0" in servers for servers in list(made.sent.values())[1:])
+
+
 # Evenness of the ring, and of cold servers
 
 
--- a/tests/reach/test_barring.py
+++ b/tests/reach/test_barring.py
@@ -120,6 +120,61 @@
     assert not reach.barred
 
 
+def test_time_outs_of_requests_sent_before_an_answer_came_bar_nothing() -> None:
+    """Danger: a hall that is back is left out for what went there before."""
+    reach = made()
+    reach.ended(10_000.0, "b5", Outcome.OK, 100.0)
+    reach.ended(10_000.0, "b0", Outcome.OK, 100.0)
+    for n in range(5):
+        reach.ended(10_100.0 + n, f"b{n}", Outcome.TIMEOUT, 2000.0)
+    for _ in range(3):
+        reach.ended(
+            10_200.0, "b0", Outcome.CONNECT_FAILED, 250.0
+        )  # dialled before, and it has answered since
+    assert not reach.barred
+    for n in range(5):
+        reach.ended(12_200.0 + n, f"b{n}", Outcome.TIMEOUT, 2000.0)
+    assert in_hall(reach, "b")
+
+
+def test_answers_long_overdue_count_before_their_time_out() -> None:
+    reach = made()
+    for step in range(20):
+        reach.sent(step * 10.0, "a0")
+        reach.ended(step * 10.0 + 100.0, "a0", Outcome.OK, 100.0)
+    for n in range(5):
+        reach.sent(1000.0 + n, f"b{n}")
+    assert not reach.trial(1300.0, repeatable=True) and not reach.barred
+    reach.trial(1410.0, repeatable=True)
+    assert in_hall(reach, "b")
+    for n in range(5):  # their time-outs, later, say nothing more
+        reach.ended(3000.0 + n, f"b{n}", Outcome.TIMEOUT, 2000.0)
+    assert all(not seen.out and not seen.missed for seen in reach._servers.values())
+
+
+def test_what_is_sent_and_ended_leaves_nothing_behind() -> None:
+    reach = made()
+    for step in range(5000):
+        server = FLEET[step % 18].name
+        reach.sent(step * 10.0, server)
+        outcome = (Outcome.OK, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)[step % 4]
+        reach.ended(step * 10.0 + 5.0, server, outcome, 5.0)
+        reach.trial(step * 10.0 + 6.0, repeatable=True)
+    reach.trial(1e6, repeatable=True)
+    assert not reach._sent and all(not s.out and not s.missed for s in reach._servers.values())
+
+
+def test_a_hall_that_is_open_again_is_open_whole_and_one_failure_bars_a_server_of_it_again() -> None:
+    reach = made()
+    for n in range(3):
+        reach.ended(100.0 + n, f"b{n}", Outcome.CONNECT_FAILED, 0.0)
+        reach.ended(110.0 + n, f"b{n}", Outcome.CONNECT_FAILED, 0.0)
+    reach.ended(900.0, "b4", Outcome.OK, 0.0)
+    assert not reach.barred
+    reach.ended(950.0, "b0", Outcome.CONNECT_FAILED, 0.0)
+    assert reach.barred == {"b0"}
+
+
 def test_a_hall_in_which_a_process_starts_is_open() -> None:
     """Danger: a hall that is back, cold, stands empty until a trial finds it."""
     reach = made()
