--- a/cedarcross/limits/overload.py
+++ b/cedarcross/limits/overload.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from cedarcross.advice import Advisor, Asking
+from cedarcross.balance import SHARERS, SUBSET_LEAST
 from cedarcross.interface import EndpointState, ListedEndpoint, Outcome, RequestClass, Settings
 from cedarcross.limits.crowding import Crowding
 from cedarcross.limits.duty import Duty
@@ -23,9 +24,11 @@
 FIRST_HELD = 16.0
 # Where that is less than one request an instance, they are too many to find out in time, and begin with less.
 FIRST_DUTY = 8.0
-# Of the target, where there are more instances than servers. Danger: they hear of a crowd late and load
-# servers unevenly, so that some are past the point where they choke while all hold what is stated together.
+# Of the target, where more instances than servers use a small part of these each. Danger: they hear of a
+# crowd late and load servers unevenly, so that some choke while all together hold what is stated. Harm:
+# thirty instances that see four servers of nine each lose a fifth of what is served in a crowd.
 SHARED = 0.7
+SEEN_ENOUGH = 1 / 3
 LEAST_TARGET = 1.3
 FULL_TIMES = 2.0  # a refusal for want of room counts as this many times the target
 HOLD_PART = 0.5  # of the shortest aim: as many are held as leave in that time
@@ -76,7 +79,8 @@
                 self.window = Duty(self._stated.window(), FIRST_DUTY * ready / self._proxies)
             else:
                 stated = self._stated.window()
-                if self._proxies > ready:
+                seen = max(SUBSET_LEAST / ready, SHARERS / self._proxies)  # of the servers, by one instance
+                if self._proxies > ready and seen < SEEN_ENOUGH:
                     stated = replace(stated, target=max(LEAST_TARGET, SHARED * stated.target))
                 begun = Window(stated)
                 begun.begin(FIRST_HELD * ready / self._proxies)
