--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -50,7 +50,7 @@
     Subscribe,
     TimerFired,
 )
-from cedarcross.measures import WorkRate, longer_ms
+from cedarcross.measures import WorkRate, longer_ms, warmth
 
 # The paper's own figures.
 BUDGET_CAPACITY = 100.0
@@ -352,10 +352,7 @@
 
     def warmth(self, now_ms: float, safety: Safety) -> float:
         """The share of its full capacity that it surely has by now."""
-        if self.listed.started_ms is None or safety.cold_ms <= 0:
-            return 1.0
-        age = max(0.0, now_ms - self.listed.started_ms) / safety.cold_ms
-        return min(1.0, safety.cold_share + (1 - safety.cold_share) * age)
+        return warmth(now_ms, self.listed.started_ms, safety)
 
 
 class Demand:
--- a/cedarcross/limits/overload.py
+++ b/cedarcross/limits/overload.py
@@ -19,6 +19,7 @@
 from cedarcross.limits.settings import OverloadSettings
 from cedarcross.limits.window import Window
 from cedarcross.limits.worth import Admission
+from cedarcross.measures import warmth
 
 # Requests at a server that all instances together begin with: what they find out by themselves in a second.
 FIRST_HELD = 16.0
@@ -98,19 +99,11 @@
             # Danger: what went to servers that are lost goes to the others now, and they choke. With most out
             # of reach it is the instance that is cut off, and those that it has left have lost the others.
             ready = [each for each in ready if each.name not in self._barred]
-        bearing = sum(self._warmth(now_ms, each) for each in ready)
+        bearing = sum(warmth(now_ms, each.started_ms, self._safety) for each in ready)
         if bearing and self._bore and isinstance(self.window, Window):
             self.window.resized(bearing / self._bore)
         self._bore = bearing or self._bore
 
-    def _warmth(self, now_ms: float, endpoint: ListedEndpoint) -> float:
-        """The share of its capacity that it surely has."""
-        safety = self._safety
-        if endpoint.started_ms is None or safety.cold_ms <= 0:
-            return 1.0
-        age = max(0.0, now_ms - endpoint.started_ms) / safety.cold_ms
-        return min(1.0, safety.cold_share + (1.0 - safety.cold_share) * age)
-
     def sent(self, now_ms: float, endpoint: ListedEndpoint, asking: Asking) -> None:
         self.window.sent(now_ms, asking.work)
 
--- a/cedarcross/measures.py
+++ b/cedarcross/measures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cedarcross.interface import Safety
+
 
 class WorkRate:
     """How much work is sent, smoothed over `span_ms`."""
@@ -27,3 +29,11 @@
 def longer_ms(failures: int, first_ms: float, longest_ms: float) -> float:
     """The pause after so many failures: doubled with each."""
     return min(longest_ms, first_ms * 2.0 ** min(failures - 1, 16))
+
+
+def warmth(now_ms: float, started_ms: float | None, safety: Safety) -> float:
+    """The share of its full capacity that a server which started then surely has by now; None: long ago."""
+    if started_ms is None or safety.cold_ms <= 0:
+        return 1.0
+    age = max(0.0, now_ms - started_ms) / safety.cold_ms
+    return min(1.0, safety.cold_share + (1 - safety.cold_share) * age)
--- a/cedarcross/reach/barring.py
+++ b/cedarcross/reach/barring.py
@@ -34,6 +34,7 @@
 HALL_SERVERS = 2
 OVERDUE = 4.0  # usual times, after which an answer is missed before its time-out
 ROUNDING_MS = 1.0
+FIRST_ROUND_MS = 1000.0  # until an answer came
 ROUND_GAIN = 0.05  # about the last twenty answers tell what is usual
 MEMORY_MS = 4000.0  # what was unheard longer ago says nothing of a hall now
 PATIENCE = 4.0  # so many trials late, a request that may not be repeated is good enough
@@ -115,9 +116,8 @@
 
     def _miss(self, now_ms: float) -> None:
         """Look for answers that are long overdue, and hold them against their servers now."""
-        if not self._round_ms:
-            return
-        since_ms = now_ms - OVERDUE * self._round_ms
+        # Danger: an instance that never had an answer would keep all that it ever sent.
+        since_ms = now_ms - OVERDUE * (self._round_ms or FIRST_ROUND_MS)
         while self._sent and self._sent[0][0] <= since_ms:
             sent_ms, name = self._sent.popleft()
             seen = self._servers.get(name)
--- a/tests/reach/test_barring.py
+++ b/tests/reach/test_barring.py
@@ -152,6 +152,15 @@
     assert all(not seen.out and not seen.missed for seen in reach._servers.values())
 
 
+def test_an_instance_that_never_has_an_answer_keeps_nothing_for_long() -> None:
+    reach = made()
+    for step in range(5000):
+        reach.sent(step * 100.0, FLEET[step % 18].name)
+        reach.ended(step * 100.0 + 5.0, FLEET[step % 18].name, Outcome.CONNECT_FAILED, 5.0)
+        reach.trial(step * 100.0 + 6.0, repeatable=True)
+    assert len(reach._sent) < 50
+
+
 def test_what_is_sent_and_ended_leaves_nothing_behind() -> None:
     reach = made()
     for step in range(5000):
