Have the deaf instance stand among the twenty, where waiting for it can't run out

The control also could not fail: with gossip on the second instance knew nothing either, as three servers are too few. Now one of the twenty daemons has its gossip closed and must know nothing at the moment when all others do.

--- a/tests/membership/test_loopback.py
+++ b/tests/membership/test_loopback.py
@@ -123,15 +123,16 @@
             client.close()
 
 
-def test_one_liar_among_twenty_daemons_and_a_sick_server_known_to_those_who_never_asked_it() -> None:
+def test_one_liar_among_twenty_daemons_and_a_sick_server_known_to_who_never_asked_it() -> None:
     async def test() -> None:
         hosts = [Host(f"host-{n}") for n in range(6)]
         sick = hosts[4]
         sick.answer = breaks
-        liar = 19
-        busy, quiet = range(8), range(8, 19)
+        deaf, liar = 18, 19
+        busy, quiet = range(8), range(8, 18)
         async with Fleet(20, hosts, {liar: AccusesFirst}) as fleet:
             await fleet.met()
+            fleet.gossip(deaf).close()
             # The liar accuses the first from now on, without a request of its own.
             tasks = [asyncio.create_task(fleet.keep_asking(number)) for number in busy]
             try:
@@ -140,15 +141,15 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
+            assert fleet.factor(deaf, sick) == 1.0  # who hears of nothing knows nothing before it asked
             # By what was told of failures; on a busy machine a healthy host may well look slow.
             told_bad = {host.name: max(fleet.told_bad(n, host) for n in quiet) for host in hosts}
             assert max(bad for name, bad in told_bad.items() if name != sick.name) < 0.35, told_bad
             told = fleet.gossip(8).advisor.heard.newest(liar + 1)
             assert told is not None and told.accused == 1
             # Nobody is dropped: those who never asked anything find every other host. The sick one is drawn
-            # less,
-            # not never; how much less is measured in towns, where no busy machine makes a healthy host look
-            # slow.
+            # less, not never; how much less is measured in towns, where no busy machine makes a healthy host
+            # look slow.
             before = {host.name: len(host.got) for host in hosts}
             served = 0
             for _ in range(4):
@@ -157,28 +158,12 @@
                     status, _, _ = await client.ask(UNSAFE_CLASS)
                     served += status == 200
                     client.close()
-            assert served >= 44 - (len(sick.got) - before[sick.name])
+            assert served >= 40 - (len(sick.got) - before[sick.name])
             assert all(len(host.got) > before[host.name] for host in hosts if host is not sick)
 
     run(test())
 
 
-def test_without_gossip_nobody_knows_before_it_asked() -> None:
-    async def test() -> None:
-        hosts = [Host(f"host-{n}") for n in range(3)]
-        hosts[1].answer = breaks
-        async with Fleet(2, hosts) as fleet:
-            await fleet.met()
-            fleet.gossip(1).close()
-            task = asyncio.create_task(fleet.keep_asking(0))
-            await until(lambda: len(hosts[1].got) >= 3)
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-            assert fleet.factor(1, hosts[1]) == 1.0
-
-    run(test())
-
-
 def test_a_flood_from_outside_stops_no_request_and_is_mostly_not_even_read() -> None:
     async def test() -> None:
         hosts = [Host("a"), Host("b")]
