After a stop, begin no request whose client has left meanwhile

Checked: servers got them (20 arrivals after their clients had left), no part of the profile stands out; it is the number. Ruled out: the clients' own arithmetic (two of four late answers were theirs, mended in the drill). At fault: front.py, data_received, which begins whatever has come before it is known who has left. Nothing waits without a stop.

--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -30,6 +30,9 @@
 # answer to be taken. Clients send at once: who has sent nothing, or half, by then is owed an end.
 PATIENCE_MS = 2000.0
 SWEEP_S = 0.25
+# A sweep that comes so late tells that the process stood still. What had come by then waits for
+# `LOOK_AGAIN_S` before it is begun, and so does what comes in the next `CATCH_UP_S`: time to hear who left.
+STALL_S, CATCH_UP_S, LOOK_AGAIN_S = 0.5, 0.1, 0.02
 OVER_MOST = 32  # connections beyond `most` that are still taken, while all others are busy
 FRAMING_SIZES = frozenset(map(len, (b"content-length", b"transfer-encoding", b"expect")))
 REWORDED = (b"x-expires-in-ms", b"expect")  # the proxy words these itself, or has answered them
@@ -198,10 +201,12 @@
         if self._closing:
             return
         self._unread += data
-        self._parse()
-        self._next()
-        self._hold_back()
-        self._front.moved(self)
+        if self._front.catching_up():
+            # Danger: after a stop, a thousand requests whose clients have long gone are sent to servers, and
+            # those who still wait stand behind them. That a client has left is read after what it sent.
+            asyncio.get_running_loop().call_later(LOOK_AGAIN_S, self._go_on)
+        else:
+            self._go_on()
 
     def _parse(self) -> None:
         while self._unread and not self._closing and len(self._waiting) < MAX_AHEAD:
@@ -343,6 +348,8 @@
         self._front.moved(self)
 
     def _go_on(self) -> None:
+        if self._transport is None:
+            return
         self._parse()
         self._next()
         self._hold_back()
@@ -402,6 +409,7 @@
         self._ids: dict[bytes, float] = {}
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
+        self._behind_ms = 0.0  # until then it catches up after a stop
         self._empty = asyncio.Event()
         self._empty.set()
 
@@ -416,7 +424,7 @@
         self._enter(connection, connection.state)
         self._empty.clear()
         if self._sweeper is None:
-            self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+            self._sweep_later()
         if self.crowded():
             # Descriptors run short. Who never asked goes first, then who rests longest: a connection
             # between requests may be closed at any time, but it may carry a good client's next one.
@@ -474,9 +482,21 @@
                 return
             del self._ids[oldest]
 
-    def _sweep(self) -> None:
+    def catching_up(self) -> bool:
+        """Has the process stood still just now?"""
+        return bool(self._behind_ms) and now_ms() < self._behind_ms
+
+    def _sweep_later(self) -> None:
+        due_ms = now_ms() + 1000.0 * SWEEP_S
+        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep, due_ms)
+
+    def _sweep(self, due_ms: float) -> None:
         """End what has taken too long."""
         self._sweeper = None
+        stood_ms = now_ms() - due_ms
+        if stood_ms > 1000.0 * STALL_S:
+            log.warning("stood still for %.1f s", stood_ms / 1000.0)
+            self._behind_ms = now_ms() + 1000.0 * CATCH_UP_S
         self._forget_ids()
         late_ms = now_ms() - PATIENCE_MS
         for state, end in (
@@ -486,7 +506,7 @@
             for connection in [c for c, since_ms in self._since[state].items() if since_ms <= late_ms]:
                 end(connection)
         if self.connections or self._ids:
-            self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+            self._sweep_later()
 
     async def end(self, coming_s: float, longest_s: float) -> None:
         """Serve on while connections still come, then finish what is taken, and no more."""
