Drill fleets of real processes with faults between them, and check what clients saw

The emulator plays one process's code on a clock of its own; nothing started many processes and broke things between them. cedarcross/rig (cedarcross drill run, replay, explore) starts instances of serve or of the run line, racks of emulated servers, discovery, clients and the wires between them, each a process that dies with the drill; carries out 21 kinds of faults by time or by a line of a log, each with evidence at both ends, and is in error where one left no trace; writes a history on one clock; and holds eight pure rules against it. Layers for clocks, disks and datagrams lie under the ordinary main, which has no hook for them.

--- a/cedarcross/cli/__main__.py
+++ b/cedarcross/cli/__main__.py
@@ -279,6 +279,19 @@
     sys.exit(rehearsal())
 
 
+@main.command(
+    "drill",
+    context_settings={"ignore_unknown_options": True, "allow_interspersed_args": False},
+    add_help_option=False,
+)
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def drill(words: tuple[str, ...]) -> None:
+    """Real processes with faults between them: run, replay, explore."""
+    from cedarcross.rig.command import main as drills
+
+    drills(list(words), prog_name="cedarcross drill")
+
+
 @main.group()
 def world() -> None:
     """Emulated servers to try things on."""
--- /dev/null
+++ b/cedarcross/rig/fleet.py
@@ -0,0 +1,326 @@
+"""The processes of a drill, the wires between them, and the files that they read."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shutil
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+from cedarcross.config.fleet import seal
+from cedarcross.emulator.day import ClassSpec, Clients, Day, Kind, ServerGroup
+from cedarcross.rig.history import Writer
+from cedarcross.rig.load import KEYED, UNSAFE
+from cedarcross.rig.plan import Plan
+from cedarcross.rig.process import ROOT, Child, Helper, RigError
+
+LOOK_MS, SETTLE_MS = 100, 200
+GOSSIP_PORT = 7946
+KIND = Kind("drill", cores=4, queue_per_core=25.0, connections=400, handshake_ms=0.5, idle_s=60.0)
+WINDOW_MS = 1200.0
+
+
+def address_part() -> str:
+    """Three of the four numbers of the loopback addresses that are this drill's."""
+    pid = os.getpid()
+    return f"127.{64 + pid % 64}.{pid // 64 % 256}"
+
+
+def rack_day(plan: Plan, racks: tuple[str, ...], halls: bool) -> Day:
+    """The emulator's day of these racks. `halls`: named by the plan's halls; else by rack, so that a rack's
+    process finds nobody far away."""
+    classes = (
+        ClassSpec(
+            KEYED, share=1.0, work_ms=plan.load.work_ms, aim_ms=plan.load.deadline_ms * 0.6,
+            deadline_ms=plan.load.deadline_ms, effect="keyed", group="cell", window_ms=WINDOW_MS, worth=3.0,
+        ),
+        ClassSpec(
+            UNSAFE, share=1.0, work_ms=plan.load.work_ms, aim_ms=plan.load.deadline_ms * 0.6,
+            deadline_ms=plan.load.deadline_ms, effect="unsafe", worth=10.0,
+        ),
+    )  # fmt: skip
+    groups = tuple(ServerGroup("drill", rack, plan.fleet.per_rack, int(rack[1:])) for rack in racks)
+    return Day(
+        name=plan.name, length_s=3600.0, seed=plan.seed, halls=racks, classes=classes, kinds=(KIND,),
+        groups=groups, clients=Clients(proxies=plan.fleet.instances),
+    )  # fmt: skip
+
+
+class Fleet:
+    """Made by the drill, inside its event loop. Every method that starts something raises RigError."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self.folder = plan, folder
+        self.part = address_part()
+        self.history = Writer(folder / "drill.jsonl")
+        self.wires = Helper("wires", folder)
+        self.clients = Helper("clients", folder)
+        self.discovery = Helper("discovery", folder)
+        self.racks = {name: Helper(name, folder) for name in plan.racks()}
+        self.instances = {name: Child(name, folder) for name in plan.instances()}
+        self.links: dict[str, tuple[str, int]] = {}  # by `from>to`, where the one who dials finds it
+        self.dropped: dict[str, set[str]] = {name: set() for name in plan.instances()}
+        self.version = 1
+        self.ended_by_plan: set[str] = set()  # instances that are down as the plan says
+        self._lives: dict[str, int] = {}
+        # A relay would take a dial for a process that is down; so clients have one only where it is needed.
+        befallen = {n for f in plan.fault if "c" in (*f.who, *f.to) for n in (*f.who, *f.to)}
+        self._relayed = set(self.instances) & befallen
+        self.ports = {name: self._free_port(name) for name in self.instances}
+        bent = [f for f in plan.fault if f.kind == "clock"]
+        self._bent = {name for fault in bent for name in fault.who}
+
+    def named(self, name: str) -> Child:
+        if name == "d":
+            return self.discovery
+        return self.racks.get(name) or self.instances[name]
+
+    def host(self, number: int) -> str:
+        return f"{self.part}.{number}"
+
+    def home(self, name: str) -> Path:
+        """An instance's own folder."""
+        return self.folder / name
+
+    def _free_port(self, name: str) -> int:
+        """The system's pick, at an address that nobody else has; the same over all lives of the instance."""
+        with socket.socket() as sock:
+            sock.bind((self.host(1 + int(name[1:])), 0))
+            port: int = sock.getsockname()[1]
+            return port
+
+    # Start
+
+    async def start(self) -> None:
+        await self.wires.begin("cedarcross.rig.wires")
+        await asyncio.gather(*(self.begin_rack(rack, cold=False) for rack in self.racks))
+        if self.plan.fleet.line == "run":
+            await self.begin_discovery()
+        if self.plan.fleet.gossip:
+            self._write_keys()
+        for name in self.instances:
+            self.home(name).mkdir(exist_ok=True)
+            if self.plan.fleet.line == "serve":
+                self.write_list(name)
+        for name in self.instances:
+            await self.begin_instance(name)
+        for name in self.instances:
+            await self.await_instance(name)
+
+    async def _link(self, id_: str, to: Any, host: int = 251) -> None:
+        if id_ in self.links:
+            await self.wires.ask("aim", id=id_, to=to)
+        else:
+            answer = await self.wires.ask("link", id=id_, host=self.host(host), to=to)
+            self.links[id_] = tuple(answer["address"])
+
+    async def begin_rack(self, rack: str, cold: bool) -> None:
+        helper = self.racks[rack]
+        await helper.begin("cedarcross.rig.servers")
+        self._lives[rack] = self._lives.get(rack, 0) + 1
+        answer = await helper.ask(
+            "begin",
+            day=rack_day(self.plan, (rack,), halls=False).to_toml(),
+            host=self.host(252),
+            history=str(self.folder / f"{rack}-{self._lives[rack]}.jsonl"),
+            cold=cold,
+        )
+        for server, doors in answer["doors"].items():
+            for name, door in zip(self.instances, doors, strict=True):
+                await self._link(f"{name}>{server}", door)
+        self.say_state(rack, "ready")
+
+    async def begin_discovery(self) -> None:
+        await self.discovery.begin("cedarcross.rig.discovery")
+        self._lives["d"] = self._lives.get("d", 0) + 1
+        doors = {
+            server: [list(self.links[f"{name}>{server}"]) for name in self.instances]
+            for server in self.plan.servers()
+        }
+        answer = await self.discovery.ask(
+            "begin",
+            day=rack_day(self.plan, self.plan.racks(), halls=True).to_toml(),
+            host=self.host(253),
+            doors=doors,
+            history=str(self.folder / f"d-{self._lives['d']}.jsonl"),
+        )
+        for name, door in zip(self.instances, answer["doors"], strict=True):
+            await self._link(f"{name}>d", door)
+        self.say_state("d", "ready")
+
+    async def begin_instance(self, name: str, broken: bool = False) -> None:
+        """Started, and not waited for. `broken`: with a file that it can't use."""
+        child, home = self.instances[name], self.home(name)
+        home.mkdir(exist_ok=True)
+        other = self.plan.fleet.others.get(name)
+        path = Path(other) if other else ROOT
+        env: dict[str, str] = {}
+        if self.plan.fleet.line == "run":
+            config = home / "config.json"
+            config.write_text("{" if broken else json.dumps(self._platform(name)))
+            env["LB_CONFIG"] = str(config)
+            module, words = "cedarcross.proxy", ["--operators", "deploy/platform.toml"]
+        else:
+            config = home / "serve.toml"
+            config.write_text("name =\n" if broken else self._serve(name))
+            module, words = "cedarcross.cli", ["serve", "--config", str(config)]
+        bent = name in self._bent
+        await child.start(module, *words, path=path, env=env, faulty=home, bent=bent)
+        self.say_state(name, "started")
+
+    async def await_instance(self, name: str) -> None:
+        """It listens; its clients find it."""
+        address = await self.instances[name].listening()
+        if name in self._relayed:
+            await self._link(f"c>{name}", list(address))
+        else:
+            self.links[f"c>{name}"] = address
+        self.say_state(name, "listening")
+
+    def say_state(self, who: str, state: str, **more: Any) -> None:
+        self.history.write("state", time.monotonic(), who=who, state=state, pid=self.named(who).pid, **more)
+
+    # Files
+
+    def write_list(self, name: str, spoilt: bool = False) -> None:
+        """The instance's own copy of the list, without what was dropped for it; replaced in one step."""
+        lines: list[str] = []
+        for server, rack in self.plan.servers().items():
+            if server not in self.dropped[name]:
+                host, port = self.links[f"{name}>{server}"]
+                lines += ["[[server]]", f'name = "{server}"', f'address = "{host}:{port}"']
+                lines += [f'hall = "{self.plan.hall(rack)}"', f"rack = {int(rack[1:])}", "warm = true", ""]
+        content = seal("\n".join(lines).encode(), self.version)
+        if spoilt:
+            content = content[: len(content) // 2]
+        draft = self.home(name) / "servers.new"
+        draft.write_bytes(content)
+        os.replace(draft, self.home(name) / "servers.toml")
+
+    def _number(self, name: str) -> int:
+        return int(name[1:])
+
+    def _hall(self, name: str) -> str:
+        return f"h{self._number(name) % self.plan.fleet.halls}"
+
+    def _serve(self, name: str) -> str:
+        load = self.plan.load
+        aim = 0.6 * load.deadline_ms
+        operators = self._operators(name)
+        if operators:
+            (self.home(name) / "operators.toml").write_text(operators)
+        keep = 'keep = "kept"'
+        return f"""name = "{name}"
+listen = "{self.host(1 + self._number(name))}:{self.ports[name]}"
+hall = "{self._hall(name)}"
+instances = {self.plan.fleet.instances}
+ordinal = {self._number(name)}
+control = "control.sock"
+{'operators = "operators.toml"' if operators else ""}
+[log]
+form = "json"
+[servers]
+file = "servers.toml"
+look_ms = {LOOK_MS}
+settle_ms = {SETTLE_MS}
+leaving_share = 0.9
+sealed = true
+{keep}
+[[class]]
+name = "{KEYED}"
+effect = "keyed"
+group = "cell"
+window_ms = {WINDOW_MS}
+aim_ms = {aim}
+deadline_ms = {load.deadline_ms}
+worth = 3
+[[class]]
+name = "{UNSAFE}"
+effect = "unsafe"
+aim_ms = {aim}
+deadline_ms = {load.deadline_ms}
+worth = 10
+"""
+
+    def _operators(self, name: str) -> str:
+        text = self.plan.fleet.features
+        if self.plan.fleet.gossip:
+            seeds = [f'"{self.host(1 + n)}:{GOSSIP_PORT}"' for n in range(min(3, len(self.instances)))]
+            listen = f"{self.host(1 + self._number(name))}:{GOSSIP_PORT}"
+            keys = self.home(name) / f"{name}.keys"
+            text += f'\n[gossip]\nkeys = "{keys}"\nlisten = "{listen}"\nseeds = [{", ".join(seeds)}]\n'
+        return text
+
+    def _write_keys(self) -> None:
+        """A key ring for each instance, beside its operators' file."""
+        from cedarcross.emulator.town import secret_of
+        from cedarcross.membership.keys import Ed25519, issue, keyring_text, write_private
+
+        seed = self.plan.seed
+        authority = Ed25519(secret_of(seed, "authority"))
+        for name in self.instances:
+            self.home(name).mkdir(exist_ok=True)
+            member, hall = self._number(name) + 1, self._hall(name)
+            secret = secret_of(seed, f"member {member}")
+            card = issue(authority, 1, member, hall, 1, Ed25519(secret).public)
+            groups = {1: secret_of(seed, "group 1")}
+            text = keyring_text(card, hall, secret, groups, {1: authority.public})
+            write_private(self.home(name) / f"{name}.keys", text)
+
+    def _platform(self, name: str) -> dict[str, Any]:
+        day = rack_day(self.plan, self.plan.racks(), halls=True)
+        host, port = self.links[f"{name}>d"]
+        return {
+            "name": name,
+            "listen": f"{self.host(1 + self._number(name))}:{self.ports[name]}",
+            "discovery": f"{host}:{port}",
+            "seed": f"{self.plan.seed * 1000 + self._number(name):x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": day.facts(self._number(name), self.plan.fleet.instances),
+        }
+
+    def lose_folder(self, name: str) -> None:
+        """What the program kept there is gone; what operators put there stands."""
+        shutil.rmtree(self.home(name) / "kept", ignore_errors=True)
+
+    # Wires
+
+    def ways(self, one: str, other: str) -> list[tuple[str, str]]:
+        """The links, and the side of each, on which what `one` sends to `other` travels. Raises RigError."""
+        if one in self.instances and other in self.racks:
+            return [(f"{one}>{s}", "there") for s, rack in self.plan.servers().items() if rack == other]
+        if one in self.racks and other in self.instances:
+            return [(id_, "back") for id_, _ in self.ways(other, one)]
+        pairs = {(one, other): "there", (other, one): "back"}
+        for (a, b), side in pairs.items():
+            if f"{a}>{b}" in self.links:
+                return [(f"{a}>{b}", side)]
+        raise RigError(f"there is no wire between {one} and {other}")
+
+    async def close_doors(self, name: str) -> None:
+        """It has died: who dials it is refused, and not taken in by a relay."""
+        for id_ in self._behind(name):
+            await self.wires.ask("way", id=id_, sides=[], mode="closed")
+
+    def _behind(self, name: str) -> list[str]:
+        """The links whose far end it is."""
+        if name in self.racks:
+            servers = [s for s, rack in self.plan.servers().items() if rack == name]
+            return [f"{i}>{s}" for i in self.instances for s in servers]
+        if name == "d":
+            return [f"{i}>d" for i in self.instances]
+        return [f"c>{name}"] if name in self._relayed else []
+
+    # End
+
+    async def end(self) -> None:
+        """Every process, whatever state it is in."""
+        for child in self.instances.values():
+            await child.kill()
+        for helper in (self.clients, *self.racks.values(), self.discovery, self.wires):
+            await helper.end()
+        self.history.close()
--- /dev/null
+++ b/cedarcross/rig/servers.py
@@ -0,0 +1,95 @@
+"""One rack of the emulator's record servers as a process, with its own record of what came.
+
+Each instance has a door of its own at each server, so that the record tells who sent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Any
+
+from cedarcross.emulator.day import parse as read_day
+from cedarcross.emulator.doors import RealDoor
+from cedarcross.emulator.ledger import Arrival, Fate, Try
+from cedarcross.emulator.stage import Stage
+from cedarcross.rig.helper import Json, Order, serve
+from cedarcross.rig.history import Writer
+
+SWEEP_S = 0.05
+OVER = (Fate.RAN, Fate.REPEAT, Fate.ERROR, Fate.TURNED_AWAY, Fate.DROPPED, Fate.UNUSABLE)
+
+
+class Arrivals(list[Arrival]):
+    """Writes down each arrival at once, and its fate when it has one: a kill -9 leaves what came."""
+
+    def __init__(self, writer: Writer) -> None:
+        super().__init__()
+        self._writer = writer
+        self._open: dict[int, Arrival] = {}
+        self._number = 0
+
+    def append(self, arrival: Arrival) -> None:
+        self._number += 1
+        self._open[self._number] = arrival
+        self._writer.write(
+            "arrival", arrival.arrived_s, n=self._number, server=arrival.server, life=time_of_birth,
+            instance=f"i{arrival.proxy}", id=arrival.id, **{"class": arrival.class_name},
+            key=arrival.key, first=round(arrival.first_byte_s, 6),
+        )  # fmt: skip
+
+    def sweep(self) -> None:
+        for number, arrival in list(self._open.items()):
+            if arrival.fate in OVER:
+                del self._open[number]
+                self._writer.write(
+                    "fate", time.monotonic(), n=number, life=time_of_birth, server=arrival.server,
+                    fate=arrival.fate.value, started=arrival.started_s, ended=arrival.ended_s,
+                )  # fmt: skip
+
+
+time_of_birth = round(time.monotonic(), 6)  # tells the lives of a rack's process apart
+
+
+class Rack(Stage):
+    """A stage whose clients are processes of their own: the last part of a path is the request's key."""
+
+    def stranger(self, id_: str, url: bytes) -> Try | None:
+        tried = super().stranger(id_, url)
+        if tried is not None:
+            tried.key = url.rpartition(b"/")[2].decode("latin-1")
+        return tried
+
+
+def orders() -> dict[str, Order]:
+    made: dict[str, Any] = {}
+
+    async def begin(order: Json) -> Json:
+        loop = asyncio.get_running_loop()
+        stage = Rack(read_day(order["day"], "rack"), loop)
+        stage.strangers = True
+        stage.door = lambda factory: RealDoor(loop, factory, (order["host"], 0))
+        writer = Writer(Path(order["history"]))
+        arrivals = stage.ledger.arrivals = Arrivals(writer)
+        for server in stage.servers.values():
+            server.prepare()
+            server.start(cold=order["cold"], since_ms=stage.since_ms())
+        made["stage"] = stage
+
+        async def sweeps() -> None:
+            while True:
+                await asyncio.sleep(SWEEP_S)
+                arrivals.sweep()
+                for fall in stage.ledger.falls:
+                    writer.write("fall", fall.at_s, server=fall.server)
+                stage.ledger.falls.clear()
+                stage.ledger.tries.clear()
+
+        made["sweeps"] = loop.create_task(sweeps())
+        return {"doors": {s.name: [list(d.address) for d in s.doors] for s in stage.servers.values()}}
+
+    return {"begin": begin}
+
+
+if __name__ == "__main__":
+    serve(orders)
--- /dev/null
+++ b/tests/rig/test_drills.py
@@ -0,0 +1,168 @@
+"""Whole drills: real processes with faults between them, broken builds that are caught, and no orphans."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from cedarcross.rig import drill, history
+from cedarcross.rig.drill import Verdict
+from cedarcross.rig.plan import AimTable, FaultTable, FleetTable, LoadTable, Plan
+from cedarcross.rig.process import ROOT, states
+
+QUICK = AimTable(whole_s=2.0, stale_s=1.5)
+
+
+def plan(*faults: FaultTable, aim: AimTable = QUICK, **fleet: object) -> Plan:
+    stated = FleetTable.model_validate({"instances": 3, "racks": 2, "per_rack": 2, **fleet})
+    load = LoadTable(rate=25)
+    return Plan(name="drill", seed=4, length_s=5.0, fleet=stated, aim=aim, load=load, fault=faults)
+
+
+def played(stated: Plan, folder: Path) -> Verdict:
+    verdict = asyncio.run(drill.run(stated, folder / "d"))
+    assert verdict.outcome != "refused", verdict.why
+    return verdict
+
+
+def test_kills_stops_and_cuts_between_processes_and_service_is_whole_after_them(tmp_path: Path) -> None:
+    stated = plan(
+        FaultTable(kind="kill", who=("i1",), at_s=0.5, for_s=0.5),
+        FaultTable(kind="silent", who=("r1",), to=("i0",), back=False, at_s=0.5, for_s=1.5),
+        FaultTable(kind="reset", who=("i2",), to=("r0",), at_s=1.0, for_s=0.5),
+        FaultTable(kind="stop", who=("i2",), at_s=2.5, for_s=1.0),
+    )
+    verdict = played(stated, tmp_path)
+    assert verdict.outcome == "passed", (verdict.why, verdict.breaches[:3])
+    folder = Path(verdict.folder)
+    seen = {r["what"]: r["seen"] for r in history.read(folder / "history.jsonl") if r["kind"] == "fault"}
+    assert seen["kill"] == {"i1": {"code": -9}} and seen["stop"] == {"i2": {"state": "T"}}
+    assert seen["reset"]["wires"]["bitten"] > 0
+    assert seen["silent"]["wires"]["bitten"] + seen["silent"]["wires"]["hanging_dials"] > 0
+    # Handed on, the folder gives the same verdict.
+    again = drill.again(folder)
+    assert (again.outcome, again.figures) == (verdict.outcome, verdict.figures)
+    assert verdict.figures["served"] > 200
+
+
+def test_a_list_that_some_never_took_is_told_by_name(tmp_path: Path) -> None:
+    stated = plan(
+        FaultTable(kind="kill", who=("i1",), at_s=0.3, for_s=1.5),
+        FaultTable(kind="list", who=("i0", "i1"), at_s=1.0, drop=("r1-2",)),
+        FaultTable(kind="spoilt-list", who=("i2",), at_s=1.0, drop=("r1-2",)),
+    )
+    verdict = played(stated, tmp_path)
+    assert {(b.rule, b.who) for b in verdict.breaches} == {("stale", "i1"), ("stale", "i2")}
+
+
+def test_the_platforms_line_without_its_discovery_for_a_while(tmp_path: Path) -> None:
+    stated = plan(
+        FaultTable(kind="kill", who=("d",), at_s=0.5, for_s=1.5),
+        FaultTable(kind="term", who=("i1",), at_s=0.7, for_s=0.5),
+        line="run",
+    )
+    verdict = played(stated, tmp_path)
+    assert verdict.outcome == "passed", (verdict.why, verdict.breaches[:3])
+
+
+def build(folder: Path, file: str, old: str, new: str) -> str:
+    """A copy of the program with one thing broken."""
+    made = folder / "broken"
+    shutil.copytree(ROOT / "cedarcross", made / "cedarcross", ignore=shutil.ignore_patterns("__pycache__"))
+    path = made / "cedarcross" / file
+    text = path.read_text()
+    assert text.count(old) == 1, f"{file}: {old!r}"
+    path.write_text(text.replace(old, new))
+    return str(made)
+
+
+BROKEN = {
+    "again": (
+        "proxy/front.py",
+        "        transport.write(answer_bytes(status, headers, body, last))\n",
+        "        transport.write(answer_bytes(status, headers, body, last))\n"
+        "        asyncio.get_running_loop().call_later(0.001, transport.write, b'HTTP/1.1 200 OK')\n",
+    ),
+    "stale": (
+        "config/source.py",
+        "        begun = bool(self._directory.entries)\n",
+        "        begun = bool(self._directory.entries)\n        if begun:\n            return\n",
+    ),
+    "twice": (
+        "balance.py",
+        "        return self.cls is not None and self.cls.idempotency is not Idempotency.UNSAFE\n",
+        "        return True\n",
+    ),
+    "foreign": (
+        "proxy/front.py",
+        "        self._answer(200, end_to_end(answer.headers, NOT_PASSED_ON), answer.body)\n",
+        "        self._answer(200, end_to_end(answer.headers, NOT_PASSED_ON), b'0000000000 r0-1 ran')\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+def test_a_broken_build_is_caught_by_name_beside_good_ones(rule: str, tmp_path: Path) -> None:
+    all_ = ("i0", "i1", "i2")
+    # Requests take long, and meanwhile their connections break, six times: some of them have run by then.
+    breaks = [
+        FaultTable(kind="reset", who=all_, to=(f"r{n % 3}",), at_s=0.8 + n / 2, for_s=0.1) for n in range(6)
+    ]
+    faults = [FaultTable(kind="list", who=all_, at_s=0.5, drop=("r1-2",)), *breaks]
+    stated = plan(*faults, racks=3, others={"i1": build(tmp_path, *BROKEN[rule])})
+    stated = stated.model_copy(update={"load": LoadTable(rate=30, work_ms=100.0, unsafe_share=0.9)})
+    verdict = played(stated, tmp_path)
+    assert verdict.outcome == "failed", verdict.why
+    assert {b.who for b in verdict.breaches if b.rule == rule} == {"i1"}
+    assert not [b for b in verdict.breaches if b.who in ("i0", "i2")], verdict.breaches[:5]
+
+
+def test_a_fault_that_does_not_happen_is_an_error_and_no_pass(tmp_path: Path) -> None:
+    nothing = FaultTable(kind="slow-disk", who=("i0",), ms=50.0, at_s=0.2, for_s=0.3)
+    verdict = played(plan(nothing), tmp_path)
+    assert verdict.outcome == "error" and "did not happen at i0" in verdict.why
+    twice = FaultTable(kind="kill", who=("i0",), at_s=0.2), FaultTable(kind="stop", who=("i0",), at_s=1.0)
+    verdict = played(plan(*twice), tmp_path / "more")
+    assert verdict.outcome == "error" and "gone before" in verdict.why
+
+
+def test_a_drill_that_is_killed_leaves_no_process(tmp_path: Path) -> None:
+    file = tmp_path / "p.toml"
+    fault = 'kind = "stop"\nwho = ["i1"]\nat_s = 0.1\nfor_s = 50'
+    file.write_text(f'name = "p"\nlength_s = 60\n[[fault]]\n{fault}\n')
+    words = [sys.executable, "-m", "cedarcross.cli", "drill", "run", str(file), "--out", str(tmp_path / "o")]
+
+    def until(holds: Callable[[], bool]) -> None:
+        async def wait() -> None:
+            async with asyncio.timeout(60):
+                while not holds():
+                    await asyncio.sleep(0.02)
+
+        asyncio.run(wait())
+
+    def children(pid: int) -> list[int]:
+        found = []
+        for entry in os.listdir("/proc"):
+            if entry.isdigit():
+                try:
+                    parent = int(Path(f"/proc/{entry}/stat").read_text().rpartition(")")[2].split()[1])
+                except OSError:
+                    continue
+                found += [int(entry)] if parent == pid else []
+        return found
+
+    with subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL) as made:
+        until(lambda: any(states(pid) == "T" for pid in children(made.pid)))
+        pids = children(made.pid)
+        assert len(pids) >= 3 + 3 + 2  # instances, racks, wires, clients
+        made.send_signal(signal.SIGKILL)
+        made.wait()
+    until(lambda: all(states(pid) in ("", "Z") for pid in pids))
--- /dev/null
+++ b/tests/rig/test_explore.py
@@ -0,0 +1,47 @@
+"""Drawn plans are plans, the same seed draws the same one, and shrinking keeps what breaks."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import pairwise
+
+import pytest
+
+from cedarcross.config.models import parse
+from cedarcross.rig.explore import draw, shrink
+from cedarcross.rig.plan import FaultTable, FleetTable, Plan, worded
+
+
+@pytest.mark.parametrize("fleet", [FleetTable(instances=4, gossip=True), FleetTable(instances=3, line="run")])
+def test_drawn_plans_are_plans_and_spare_somebody(fleet: FleetTable) -> None:
+    base = Plan(name="base", seed=9, length_s=12, fleet=fleet)
+    kinds = set()
+    for seed in range(200):
+        plan = draw(base, seed)
+        assert parse(Plan, worded(plan), "drawn") == plan == draw(base, seed)
+        kinds |= {fault.kind for fault in plan.fault}
+        befallen = {name for fault in plan.fault for name in (*fault.who, *fault.to)}
+        hit = {name for fault in plan.fault if fault.kind not in ("late", "loss") for name in fault.who}
+        assert hit < set(base.instances()) | set(base.racks()) | {"d"}, befallen
+        # Nobody is befallen anew before it was put right.
+        for name in base.instances():
+            spans = sorted((f.at_s, f.at_s + f.for_s) for f in plan.fault if name in f.who)
+            assert all(a[1] < b[0] for a, b in pairwise(spans)), plan.fault
+    assert {"kill", "stop", "silent", "reset", "clock"} <= kinds
+
+
+def test_shrinking_finds_the_two_faults_that_it_takes() -> None:
+    faults = tuple(FaultTable(kind="stop", who=("i1",), at_s=1.0 + n, for_s=2.0) for n in range(5))
+    plan = Plan(name="p", length_s=20, fault=faults)
+    runs = 0
+
+    async def run(tried: Plan) -> list[str]:
+        nonlocal runs
+        runs += 1
+        moments = {fault.at_s for fault in tried.fault}
+        return ["lost"] if {2.0, 5.0} <= moments else []
+
+    small = asyncio.run(shrink(plan, "lost", run))
+    assert [fault.at_s for fault in small.plan.fault] == [2.0, 5.0]
+    assert all(fault.for_s == 1.0 for fault in small.plan.fault)
+    assert small.runs == runs <= 24
