Feed a cold server twice as much for as long as it is not strained by it

A larger part of the push was tried first, for all: 1/2 and 2/3 in place of 1/3. But a machine of two thirds of the mean would be pushed over at 2/3. So twice the rate holds only while the server's own answers are not strained, in proportion to its weight if it is a slower one, and only where warm servers tell the rate. At fault: Pool.cold_rate, which left two thirds of what is allowed unused whatever the server said.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -63,8 +63,9 @@
 GAIN = 0.2
 # A cold server is sent this part of the push it must not exceed, by the estimate of its capacity: with
 # the usual multiple of three just its warm share of what the others get. The rest is for machines
-# slower than their fleet's mean, and for bursts.
-COLD_MARGIN = 1 / 3
+# slower than their fleet's mean, and for bursts. Danger: where many are cold at once, work waits at the
+# others while these stand idle. So one is sent twice as much for as long as it is not strained by it.
+COLD_MARGIN, COLD_EASE = 1 / 3, 2.0
 COLD_BEYOND = 2  # own in flight at servers that have started: up to it they are sent to past a full window
 RATE_WINDOWS = 4  # push windows over which what the others get is smoothed
 # A server's answers may be slower than unhurried ones by this part of the room that the slow among
@@ -444,6 +445,7 @@
         self._safety = settings.safety
         self.ring: list[Endpoint] = []  # from this proxy's place on
         self.size = 0  # how many of them it uses
+        self._weight = 1.0  # of them in the mean
         self.gate = Gate()
         self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.push_window_ms)
 
@@ -453,6 +455,7 @@
         ring = sorted(endpoints, key=lambda e: (crc32(e.listed.name.encode()), e.listed.name))
         start = int(self._start * len(ring))
         self.ring = ring[start:] + ring[:start]
+        self._weight = sum(e.listed.weight for e in ring) / max(1, len(ring))
         self.size = min(len(ring), max(SUBSET_LEAST, ceil(SHARERS * len(ring) / self._proxies)))
 
     def sharers(self) -> float:
@@ -484,12 +487,14 @@
     def has_warm(self, now_ms: float) -> bool:
         return any(e.warmth(now_ms, self._safety) >= 1 for e in self.ring)
 
-    def cold_rate(self, now_ms: float, warmth: float) -> float:
+    def cold_rate(self, now_ms: float, endpoint: Endpoint, warmth: float) -> float:
         """Work a ms that one of its cold servers may be sent from here. What a warm server gets from
         here is this proxy's part of what a server can do; the other proxies keep to theirs in the same
         way. With nothing warm to go by, a server is taken for a single core."""
         if self.has_warm(now_ms):
             part = self.work_rate.per_ms(now_ms) / max(1, self.size)
+            if endpoint.strain <= 1:
+                part *= COLD_EASE * (min(1.0, endpoint.listed.weight / self._weight) if self._weight else 1.0)
         else:
             part = 1 / self.sharers()
         return COLD_MARGIN * self._safety.push_multiple * warmth * part
@@ -1102,7 +1107,7 @@
         if warmth >= 1:
             return True
         pool = self.membership.pool(endpoint)
-        rate = pool.cold_rate(self.now_ms, warmth)
+        rate = pool.cold_rate(self.now_ms, endpoint, warmth)
         if endpoint.cold_credit_ms is None:
             # Where all are cold, somebody must begin: with this proxy's part of what would be too much.
             ahead_ms = 0.0 if pool.has_warm(self.now_ms) else safety.push_window_ms / COLD_MARGIN
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -53,6 +53,25 @@
     assert sum(e.listed.started_ms is None for e in used) == SUBSET_LEAST
 
 
+def test_a_cold_server_is_fed_more_while_it_bears_it_and_less_if_it_is_slower() -> None:
+    """Danger: while many are cold, work waits at the others and these idle; and a slow one is pushed over."""
+    cold = [replace(endpoint(f"c{n}", started_ms=990), weight=w) for n, w in enumerate((1.0, 0.5, 4.0))]
+    driver = Driver(LARGE, [*FLEET, *cold])
+    driver.serve(50)
+    own, known = driver.balancer.membership.near, driver.balancer.membership.endpoints
+
+    def rate(name: str) -> float:
+        return own.cold_rate(driver.now_ms, known[name], 0.5)
+
+    usual = rate("c0")
+    assert 0.45 < rate("c1") / usual < 0.55 and rate("c2") / usual < 1.1
+    known["c0"].strain = 1.01
+    assert 1.9 < usual / rate("c0") < 2.1
+    # Never past the push that it must not exceed, at the warm servers' rate.
+    push = LARGE.safety.push_multiple * 0.5 * own.work_rate.per_ms(driver.now_ms) / own.size
+    assert usual <= 2 / 3 * push * 1.001
+
+
 def test_gate_admits_its_share() -> None:
     gate = Gate()
     while gate.share > 0.5:
