Agree on the list of servers: [agreement] in serve, carried by datagrams, kept, and leased

With [agreement] the list is a version that seats vote on; an instance decides by it only under a lease, refuses at once and says that it is not ready without one, and looks at the lease right before each request and each attempt. Votes are kept and synced before they are said; bodies come by a stream and are believed by their digest; a seat's words carry its own signature. Off unless stated; what is off costs one comparison a request and one an attempt. In the drill servers have one address for all then, and who sent is told by the request's own id.

--- a/cedarcross/agreement/holder.py
+++ b/cedarcross/agreement/holder.py
@@ -98,9 +98,10 @@
             self._asked = ready.number
         self._nonce += 1
         self._granted = set()
-        number = self._asked if self._asked >= 0 else newest.number
+        about = ready if ready is not None else newest
+        ask = Ask(about.number, self._nonce, about.digest)
         # Seats of the newest that it knows; of others it hears through them.
-        return [*actions, *(Say(seat.member, Ask(number, self._nonce)) for seat in newest.seats)]
+        return [*actions, *(Say(seat.member, ask) for seat in newest.seats)]
 
     def prepared_now(self, now_ms: float, number: int, why: str = "") -> list[Action]:
         """It is ready aside; or `why` says that this instance can't take it."""
--- /dev/null
+++ b/cedarcross/agreement/store.py
@@ -0,0 +1,85 @@
+"""What an instance keeps of the agreement: its seat's memory, the newest version, and bodies. Each file
+carries a digest of its content, is written aside, synced and renamed, and the folder synced; a file that is
+torn is told from one that is whole, and counts as lost."""
+
+from __future__ import annotations
+
+import os
+from contextlib import suppress
+from hashlib import blake2b
+from typing import TypeVar
+
+import msgspec
+
+from cedarcross.agreement.voter import Memory
+from cedarcross.agreement.words import Decided
+from cedarcross.config.fleet import digest_of
+from cedarcross.config.kept import Files
+
+DIGEST = 16
+MOST_BODIES = 20
+T = TypeVar("T")
+
+
+class Store:
+    """All raise OSError where the disk does."""
+
+    def __init__(self, files: Files) -> None:
+        self._files = files
+        self._drafts = 0
+
+    def _put(self, name: str, content: bytes) -> None:
+        self._drafts += 1
+        draft = f".draft-{os.getpid()}-{self._drafts}"
+        try:
+            self._files.write(draft, content)
+            self._files.rename(draft, name)
+        except OSError:
+            with suppress(OSError):
+                self._files.remove(draft)
+            raise
+        self._files.sync()
+
+    def _sealed(self, name: str, value: object) -> None:
+        content = msgspec.msgpack.encode(value)
+        self._put(name, blake2b(content, digest_size=DIGEST).digest() + content)
+
+    def _read(self, name: str, kind: type[T]) -> T | None:
+        """None: it is not there, torn, or no such thing."""
+        try:
+            whole = self._files.read(name)
+            content = whole[DIGEST:]
+            if blake2b(content, digest_size=DIGEST).digest() != whole[:DIGEST]:
+                return None
+            return msgspec.msgpack.decode(content, type=kind)
+        except (OSError, msgspec.DecodeError):
+            return None
+
+    def memory(self) -> Memory | None:
+        return self._read("seat", Memory)
+
+    def keep_memory(self, memory: Memory) -> None:
+        self._sealed("seat", memory)
+
+    def decided(self) -> Decided | None:
+        return self._read("decided", Decided)
+
+    def keep_decided(self, decided: Decided) -> None:
+        self._sealed("decided", decided)
+
+    def body(self, digest: str) -> bytes | None:
+        try:
+            content = self._files.read(f"body-{digest}")
+        except OSError:
+            return None
+        return content if digest_of(content) == digest else None
+
+    def keep_body(self, content: bytes) -> str:
+        digest = digest_of(content)
+        if self.body(digest) is None:
+            bodies = [name for name in self._files.names() if name.startswith("body-")]
+            for name in sorted(bodies)[: max(0, len(bodies) - MOST_BODIES)]:
+                with suppress(OSError):
+                    self._files.remove(name)
+            self._put(f"body-{digest}", content)
+        return digest
--- a/cedarcross/agreement/voter.py
+++ b/cedarcross/agreement/voter.py
@@ -157,7 +157,8 @@
             return [Say(sender, self.memory.decided)]
         if word.number > self.decided.number:
             return [Say(sender, Behind(self.decided.number))]
-        if not self.sits:
+        if not self.sits or word.digest != self.decided.digest:
+            # Danger: of another fleet, or with another first version, it decides by what nobody agreed on.
             return []
         if self.pending is not None:
             return [Say(sender, Busy(word.number, word.nonce))]
--- a/cedarcross/agreement/words.py
+++ b/cedarcross/agreement/words.py
@@ -110,6 +110,7 @@
 
     number: Number
     nonce: Nonce
+    digest: Annotated[str, Meta(max_length=64)] = ""
 
 
 class Grant(Struct, frozen=True, tag="g"):
--- a/cedarcross/cli/serve.py
+++ b/cedarcross/cli/serve.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from cedarcross.cli.control import Control, Json, Refusal
 from cedarcross.config.kept import Folder, Kept
@@ -22,6 +22,9 @@
 from cedarcross.settings import read_settings
 from cedarcross.tomlfile import TomlError, read_text
 
+if TYPE_CHECKING:
+    from cedarcross.agreement.source import AgreedSource
+
 log = logging.getLogger(__name__)
 
 EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
@@ -43,8 +46,8 @@
 def load_serving(path: Path) -> Serving:
     """Raises TomlError with a line for each fault."""
     file = parse(ServeFile, read_text(path), str(path))
-    if (file.servers is None) == (file.discovery is None):
-        raise TomlError(f"{path}: servers: either [servers] or `discovery` is needed, and not both")
+    if sum(each is not None for each in (file.servers, file.discovery, file.agreement)) != 1:
+        raise TomlError(f"{path}: servers: one of [servers], [agreement] and `discovery` is needed")
     if file.ordinal >= file.instances:
         raise TomlError(f"{path}: ordinal: {file.ordinal} is not below instances ({file.instances})")
     operators = load_operators(path.parent / file.operators) if file.operators else NOTHING
@@ -112,9 +115,12 @@
             sockets=file.sockets,
         )
         listing: MakeListing | None = None
+        self.agreed: AgreedSource | None = None
         if file.servers is not None:
             listing = self._source
-        weights = (Weights(),) if file.servers is not None else ()
+        elif file.agreement is not None:
+            listing = self._agreed
+        weights = (Weights(),) if listing is not None else ()
         gossip = None
         if serving.operators.gossip is not None:
             from cedarcross.membership.gossip import Gossip
@@ -124,9 +130,11 @@
         self.daemon = Daemon(
             config, operators=serving.operators, gossip=gossip, listing=listing, lasting=weights
         )
+        if self.agreed is not None:
+            self.daemon.core.leased = self.agreed.leased
         self.control: Control | None = None
         if file.control:
-            verbs = {"status": self._status, "force": self._force}
+            verbs = {"status": self._status, "force": self._force, "propose": self._propose}
             self.control = Control(serving.beside(file.control), verbs)
 
     def _source(self, directory: Any, told: Any) -> FileSource:
@@ -142,6 +150,16 @@
         self.source = FileSource(path, table.look_ms, stated, directory, told, self.kept)
         return self.source
 
+    def _agreed(self, directory: Any, told: Any) -> AgreedSource:
+        # Not at the top: an instance without the table starts without the packages.
+        from cedarcross.agreement.source import AgreedSource
+
+        table = self.serving.file.agreement
+        assert table is not None
+        self.agreed = AgreedSource(table, self.serving.path.parent, directory, told)
+        self.source = self.agreed
+        return self.agreed
+
     async def start(self) -> int:
         """Returns the port. Raises OSError if an address can't be had."""
         port = await self.daemon.start()
@@ -189,12 +207,24 @@
                 "held_back": running.held.digest if running.held else None,
                 "changes": self.source.changes[-8:],
             }
+        if self.agreed is not None:
+            said["agreement"] = self.agreed.status()
         if self.daemon.gossip is not None:
             node = self.daemon.gossip.node
             said["members"] = {m.number: m.state.value for m in node.swim.members}
             said["drawn_less"] = sorted(node.suspicions.leaned)
         return said
 
+    def _propose(self, question: Json) -> Json:
+        """The list of servers in a file of this machine becomes the fleet's, if the fleet agrees."""
+        if self.agreed is None:
+            raise Refusal("the list of servers is not agreed on here")
+        try:
+            content = Path(str(question.get("file"))).read_bytes()
+            return {"change": self.agreed.propose(content, str(question.get("change", "")))}
+        except (OSError, ValueError) as error:
+            raise Refusal(str(error)) from None
+
     def _force(self, question: Json) -> Json:
         """Take what is held back. The caller says which: it may have changed since it was looked at."""
         if self.source is None:
--- a/cedarcross/config/models.py
+++ b/cedarcross/config/models.py
@@ -120,6 +120,26 @@
     kept: int = Field(20, ge=1, le=1000, description="so many are kept at most")
 
 
+class SeatEntry(Model):
+    """`[[agreement.seat]]`: an instance that votes."""
+
+    member: int = Field(ge=0, description="its number, as on its card")
+    address: Address = Field(description="where it listens for the agreement, `IP:port`, UDP and TCP")
+    public: str = Field(min_length=44, max_length=44, description="its public key, in base64")
+
+
+class AgreementTable(Model):
+    """`[agreement]`: the list of servers is agreed on by the fleet, in the place of `[servers]`."""
+
+    keys: str = Field(min_length=1, description="this instance's key file, relative to this one")
+    listen: Annotated[str, AfterValidator(_listen)] = Field(description="UDP and TCP, `IP:port`")
+    first: str = Field(min_length=1, description="the file of servers that is version 1")
+    keep: str = Field(min_length=1, description="folder for votes, versions and bodies")
+    lease_ms: float = Field(3000.0, ge=100, le=600_000, description="an instance decides so long by a lease")
+    clock_error: float = Field(0.05, ge=0, lt=0.5, description="of a clock's rate, at most")
+    seat: tuple[SeatEntry, ...] = Field(min_length=1, max_length=7, description="who votes: 1, 3 or 5")
+
+
 class LogTable(Model):
     """`[log]`"""
 
@@ -152,6 +172,7 @@
         alias="class", min_length=1, description="the kinds of requests"
     )
     servers: ServersTable | None = Field(None, description="the watched file of servers")
+    agreement: AgreementTable | None = Field(None, description="the list of servers, agreed on")
     log: LogTable = Field(default_factory=LogTable, description="the log")
 
 
--- a/cedarcross/membership/link.py
+++ b/cedarcross/membership/link.py
@@ -36,8 +36,9 @@
 
 
 class UdpPort:
-    def __init__(self, listen: Address) -> None:
-        """Raises OSError if the address can't be had."""
+    def __init__(self, listen: Address, most: int = MOST) -> None:
+        """`most`: bytes of a datagram. Raises OSError if the address can't be had."""
+        self._most = most
         family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
         try:
@@ -63,7 +64,7 @@
     def _readable(self) -> None:
         for _ in range(AT_ONCE):
             try:
-                data, source = self._socket.recvfrom(MOST + 1)
+                data, source = self._socket.recvfrom(self._most + 1)
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:  # such as an ICMP error for something sent before
--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -115,6 +115,7 @@
         self._recall = Recall(PATIENCE * longest_ms) if stated is not None and stated.ages else None
         self.balancer = self._new_balancer()
         self.discovery: Subscribed | None = None
+        self.leased: Callable[[], bool] | None = None  # may anything be decided at this moment? None: always
 
     def _new_balancer(self) -> Balancer:
         seed = self._seed + self._life
@@ -303,12 +304,15 @@
             return
         number = len(held.attempts)
         held.may_have_run += 1
-        attempt = self._upstream.start(
-            held.request,
-            action.endpoint,
-            max(0.0, action.timeout_ms),
-            lambda ended: self._attempt_ended(held, number, ended),
-        )
+        attempt: Attempt | None = None
+        # Danger: what was held before a stop is sent by what has not held for long.
+        if self.leased is None or self.leased():
+            attempt = self._upstream.start(
+                held.request,
+                action.endpoint,
+                max(0.0, action.timeout_ms),
+                lambda ended: self._attempt_ended(held, number, ended),
+            )
         # Danger: the balancer numbers all attempts. One left out here, and the end of the next is told under
         # the
         # number of the last: the balancer waits for it until the client's time is over.
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -325,7 +325,9 @@
                 self._waiting.clear()
                 self._answer(error.status, [], str(error).encode())
             elif request is None:
-                self._answer(200 if self._front.ready() else 503, [], b"")
+                self._answer(200 if self._front.ready() and self._front.leased() else 503, [], b"")
+            elif not self._front.leased():
+                self.refuse(0.0)
             else:
                 self._current = self._front.core.take(request, self)
 
@@ -482,6 +484,10 @@
                 return
             del self._ids[oldest]
 
+    def leased(self) -> bool:
+        """May anything be decided at this moment?"""
+        return self.core.leased is None or self.core.leased()
+
     def catching_up(self) -> bool:
         """Has the process stood still just now?"""
         return bool(self._behind_ms) and now_ms() < self._behind_ms
--- a/cedarcross/rig/checks.py
+++ b/cedarcross/rig/checks.py
@@ -109,10 +109,15 @@
 def arrivals(records: Sequence[Record]) -> list[Record]:
     """What reached servers, each with its fate; one whose server was killed has none, and may have run."""
     fates = {(r["server"], r["life"], r["n"]): r for r in of(records, "fate")}
+    # By whom it was sent: whose client asked for it. The door at which it came says the same, where each
+    # instance has its own.
+    asked_of = {op["id"]: op["instance"] for op in of(records, "op")}
     joined = []
     for record in of(records, "arrival"):
         fate = fates.get((record["server"], record["life"], record["n"]), {})
-        joined.append({**record, "fate": fate.get("fate", "unknown"), "ended": fate.get("ended")})
+        who = asked_of.get(record["id"], record["instance"])
+        more = {"instance": who, "fate": fate.get("fate", "unknown"), "ended": fate.get("ended")}
+        joined.append({**record, **more})
     return sorted(joined, key=lambda record: float(record["t"]))
 
 
--- a/cedarcross/rig/faults.py
+++ b/cedarcross/rig/faults.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from cedarcross.cli.control import ask
 from cedarcross.rig.fleet import Fleet
 from cedarcross.rig.plan import OF_DATAGRAMS, OF_DISKS, OF_WIRES, FaultTable
 from cedarcross.rig.process import (
@@ -28,6 +30,7 @@
 CLOCK_ERROR = 0.02  # of a rate, as measured over the fault
 SPINNERS = 3
 DIES_S = 10.0
+ENDS_S = 30.0  # a change that is proposed
 
 
 class Fault:
@@ -56,6 +59,8 @@
             await self._each(self._lose)
         elif kind in ("list", "spoilt-list"):
             await self._each(self._list)
+        elif kind == "propose":
+            await self._each(self._propose)
         elif kind == "bad-start":
             await self._each(self._bad_start)
         elif kind == "busy":
@@ -286,6 +291,34 @@
         )  # fmt: skip
         self._note(name, reached=reached)
 
+    async def _propose(self, name: str) -> None:
+        """As an operator does, through the control socket; the history has what became of it."""
+        fleet, change = self.fleet, f"change-{self.number}"
+        control = fleet.home(name) / "control.sock"
+        question = {"do": "propose", "change": change}
+        fleet.version += 1
+        question["file"] = str(fleet.proposal(self.stated.drop))
+        try:
+            answer = await asyncio.to_thread(ask, control, question)
+        except (OSError, ValueError) as error:
+            raise self._unseen(name, f"its control socket: {error}") from None
+        ended: Seen = {"what": "refused", "why": answer.get("why")} if not answer["ok"] else {}
+        end_s = time.monotonic() + ENDS_S
+        while not ended and time.monotonic() < end_s:
+            with contextlib.suppress(OSError, ValueError):
+                status = await asyncio.to_thread(ask, control, {"do": "status"})
+                told = status.get("agreement", {}).get("changes", [])
+                ended = next((each for each in told if each["change"] == change), {})
+            await asyncio.sleep(SAMPLE_S)
+        self._note(name, **(ended or {"what": "unknown"}))
+        if ended.get("what") == "decided":
+            for other in fleet.instances:
+                fleet.dropped[other] |= set(self.stated.drop)
+                fleet.history.write(
+                    "list", time.monotonic(), instance=other, reached=True, drop=list(self.stated.drop),
+                    spoilt=False, version=fleet.version,
+                )  # fmt: skip
+
     # A core
 
     async def _busy(self, name: str) -> None:
--- a/cedarcross/rig/fleet.py
+++ b/cedarcross/rig/fleet.py
@@ -22,6 +22,15 @@
 GOSSIP_PORT = 7946
 KIND = Kind("drill", cores=4, queue_per_core=25.0, connections=400, handshake_ms=0.5, idle_s=60.0)
 WINDOW_MS = 1200.0
+AGREEMENT_PORT = 7947
+WATCHED = f"""[servers]
+file = "servers.toml"
+look_ms = {LOOK_MS}
+settle_ms = {SETTLE_MS}
+leaving_share = 0.9
+sealed = true
+keep = "kept"
+"""
 
 
 def address_part() -> str:
@@ -100,12 +109,13 @@
         await asyncio.gather(*(self.begin_rack(rack, cold=False) for rack in self.racks))
         if self.plan.fleet.line == "run":
             await self.begin_discovery()
-        if self.plan.fleet.gossip:
+        if self.plan.fleet.gossip or self.plan.fleet.seats:
             self._write_keys()
         for name in self.instances:
             self.home(name).mkdir(exist_ok=True)
             if self.plan.fleet.line == "serve":
                 self.write_list(name)
+        self._take_seats()
         for name in self.instances:
             await self.begin_instance(name)
         for name in self.instances:
@@ -131,7 +141,11 @@
         )
         for server, doors in answer["doors"].items():
             for name, door in zip(self.instances, doors, strict=True):
-                await self._link(f"{name}>{server}", door)
+                if self.plan.fleet.seats and name != "i0":
+                    # An agreed list has one address of a server for all.
+                    self.links[f"{name}>{server}"] = self.links[f"i0>{server}"]
+                else:
+                    await self._link(f"{name}>{server}", door)
         self.say_state(rack, "ready")
 
     async def begin_discovery(self) -> None:
@@ -174,7 +188,7 @@
 
     async def await_instance(self, name: str) -> None:
         """It listens; its clients find it."""
-        address = await self.instances[name].listening()
+        address = await self.instances[name].listening(self.ports[name])
         if name in self._relayed:
             await self._link(f"c>{name}", list(address))
         else:
@@ -188,18 +202,72 @@
 
     def write_list(self, name: str, spoilt: bool = False) -> None:
         """The instance's own copy of the list, without what was dropped for it; replaced in one step."""
+        content = self._listed(name)
+        if spoilt:
+            content = content[: len(content) // 2]
+        draft = self.home(name) / "servers.new"
+        draft.write_bytes(content)
+        os.replace(draft, self.home(name) / "servers.toml")
+
+    def _listed(self, name: str) -> bytes:
         lines: list[str] = []
         for server, rack in self.plan.servers().items():
             if server not in self.dropped[name]:
                 host, port = self.links[f"{name}>{server}"]
                 lines += ["[[server]]", f'name = "{server}"', f'address = "{host}:{port}"']
                 lines += [f'hall = "{self.plan.hall(rack)}"', f"rack = {int(rack[1:])}", "warm = true", ""]
-        content = seal("\n".join(lines).encode(), self.version)
-        if spoilt:
-            content = content[: len(content) // 2]
-        draft = self.home(name) / "servers.new"
-        draft.write_bytes(content)
-        os.replace(draft, self.home(name) / "servers.toml")
+        return seal("\n".join(lines).encode(), self.version)
+
+    def _take_seats(self) -> None:
+        """What an operator says once to each instance that votes."""
+        if not self.plan.fleet.seats:
+            return
+        from cedarcross.agreement.source import take_seat
+        from cedarcross.cli.serve import load_serving
+
+        for name in list(self.instances)[: self.plan.fleet.seats]:
+            config = self.home(name) / "serve.toml"
+            config.write_text(self._serve(name))
+            table = load_serving(config).file.agreement
+            assert table is not None
+            take_seat(table, self.home(name), self._number(name) + 1)
+
+    def _agreement(self, name: str) -> str:
+        """Members are numbered from 1; the first few instances have the seats."""
+        import base64
+
+        from cedarcross.emulator.town import secret_of
+        from cedarcross.membership.keys import Ed25519
+
+        plan = self.plan
+        lines = [
+            "[agreement]",
+            f'keys = "{name}.keys"',
+            f'listen = "{self.host(1 + self._number(name))}:{AGREEMENT_PORT}"',
+            'first = "servers.toml"',
+            'keep = "kept"',
+            f"lease_ms = {plan.fleet.lease_ms}",
+        ]
+        for seat in range(plan.fleet.seats):
+            public = Ed25519(secret_of(plan.seed, f"member {seat + 1}")).public
+            lines += [
+                "[[agreement.seat]]",
+                f"member = {seat + 1}",
+                f'address = "{self.host(1 + seat)}:{AGREEMENT_PORT}"',
+                f'public = "{base64.b64encode(public).decode()}"',
+            ]
+        return "\n".join(lines)
+
+    def proposal(self, drop: tuple[str, ...]) -> Path:
+        """A file with the list that is proposed: what all have, without these."""
+        name = next(iter(self.instances))
+        before = self.dropped[name]
+        self.dropped[name] = before | set(drop)
+        content = self._listed(name)
+        self.dropped[name] = before
+        path = self.folder / f"proposal-{self.version}.toml"
+        path.write_bytes(content)
+        return path
 
     def _number(self, name: str) -> int:
         return int(name[1:])
@@ -213,7 +281,6 @@
         operators = self._operators(name)
         if operators:
             (self.home(name) / "operators.toml").write_text(operators)
-        keep = 'keep = "kept"'
         return f"""name = "{name}"
 listen = "{self.host(1 + self._number(name))}:{self.ports[name]}"
 hall = "{self._hall(name)}"
@@ -223,13 +290,7 @@
 {'operators = "operators.toml"' if operators else ""}
 [log]
 form = "json"
-[servers]
-file = "servers.toml"
-look_ms = {LOOK_MS}
-settle_ms = {SETTLE_MS}
-leaving_share = 0.9
-sealed = true
-{keep}
+{self._agreement(name) if self.plan.fleet.seats else WATCHED}
 [[class]]
 name = "{KEYED}"
 effect = "keyed"
@@ -310,7 +371,8 @@
         """The links whose far end it is."""
         if name in self.racks:
             servers = [s for s, rack in self.plan.servers().items() if rack == name]
-            return [f"{i}>{s}" for i in self.instances for s in servers]
+            diallers = ["i0"] if self.plan.fleet.seats else list(self.instances)
+            return [f"{i}>{s}" for i in diallers for s in servers]
         if name == "d":
             return [f"{i}>d" for i in self.instances]
         return [f"c>{name}"] if name in self._relayed else []
--- a/cedarcross/rig/plan.py
+++ b/cedarcross/rig/plan.py
@@ -22,13 +22,14 @@
 OF_CLOCKS = ("clock",)
 OF_DISKS = ("full", "read-only", "slow-disk", "torn", "lost-disk")
 OF_LISTS = ("list", "spoilt-list")
+OF_AGREEMENT = ("propose",)
 Kind = Literal[
     "kill", "term", "stop", "bad-start", "busy",
     "silent", "reset", "delay", "trickle",
     "loss", "late", "twice", "reorder",
     "clock",
     "full", "read-only", "slow-disk", "torn", "lost-disk",
-    "list", "spoilt-list",
+    "list", "spoilt-list", "propose",
 ]  # fmt: skip
 
 
@@ -43,6 +44,8 @@
     per_rack: int = Field(2, ge=1, le=20, description="servers in each")
     halls: int = Field(1, ge=1, le=10, description="racks are dealt out to so many halls")
     gossip: bool = Field(False, description="instances tell each other what they saw of servers")
+    seats: int = Field(0, ge=0, le=5, description="so many vote on the list; 0: each has a file of its own")
+    lease_ms: float = Field(1500.0, ge=200, le=60_000, description="of the agreement")
     features: str = Field("", description="further tables of the operators' file, as TOML text")
     others: dict[str, str] = Field(
         default_factory=dict, description="by instance (`i2`), a checkout of another version that it runs"
@@ -92,7 +95,7 @@
             raise ValueError("to: missing: a fault of wires has two ends")
         if self.to and not wires and self.kind not in OF_DATAGRAMS:
             raise ValueError(f"to: {self.kind} has one end only")
-        if self.kind == "list" and not self.drop:
+        if self.kind in ("list", "propose") and not self.drop:
             raise ValueError("drop: missing: which servers leave the list?")
         if self.kind in ("delay", "late", "slow-disk") and not self.ms:
             raise ValueError("ms: missing")
@@ -146,13 +149,23 @@
                 raise ValueError(f"fault.{number}: at_s: after the end of the plan")
             if fault.kind in (*OF_LISTS, *OF_DISKS) and self.fleet.line == "run":
                 raise ValueError(f"fault.{number}: {fault.kind}: the `run` line has no files of its own")
-            if fault.kind in (*OF_LISTS, *OF_DISKS, *OF_CLOCKS, *OF_DATAGRAMS, "bad-start", "busy"):
+            if (fault.kind in OF_LISTS and self.fleet.seats) or (
+                fault.kind in OF_AGREEMENT and (not self.fleet.seats or len(fault.who) != 1)
+            ):
+                raise ValueError(f"fault.{number}: {fault.kind}: lists are agreed on where there are seats")
+            if fault.kind in (
+                *OF_LISTS, *OF_AGREEMENT, *OF_DISKS, *OF_CLOCKS, *OF_DATAGRAMS, "bad-start", "busy",
+            ):  # fmt: skip
                 if any(not name.startswith("i") for name in fault.who):
                     raise ValueError(f"fault.{number}: who: {fault.kind} befalls instances only")
             elif any(name == "c" for name in fault.who) and fault.kind not in OF_WIRES:
                 raise ValueError(f"fault.{number}: who: the clients are the drill's own measure")
-            if fault.kind in OF_DATAGRAMS and not self.fleet.gossip:
+            if fault.kind in OF_DATAGRAMS and not (self.fleet.gossip or self.fleet.seats):
                 raise ValueError(f"fault.{number}: {fault.kind}: instances send datagrams only with gossip")
+            if fault.kind in OF_WIRES and self.fleet.seats and "c" not in named:
+                raise ValueError(f"fault.{number}: {fault.kind}: with seats, all share the wires to a server")
+        if self.fleet.seats > self.fleet.instances or (self.fleet.seats and self.fleet.line == "run"):
+            raise ValueError("fleet.seats: more than instances, or on the `run` line")
         return self
 
     def instances(self) -> tuple[str, ...]:
--- a/cedarcross/rig/process.py
+++ b/cedarcross/rig/process.py
@@ -171,13 +171,14 @@
             await self.process.wait()
         self._drop_orders()
 
-    async def listening(self, within_s: float = 30.0) -> tuple[str, int]:
-        """Where it listens, as the system tells. Raises RigError if it ends, or does not listen in time."""
+    async def listening(self, port: int, within_s: float = 30.0) -> tuple[str, int]:
+        """Its address with that port, once the system says that it listens there. Raises RigError if it ends,
+        or does not listen in time."""
         end_s = time.monotonic() + within_s
         while time.monotonic() < end_s:
-            found = sockets(self.pid, LISTEN)
-            if found:
-                return found[0][:2]
+            for host, known, _, _ in sockets(self.pid, LISTEN):
+                if known == port:
+                    return host, known
             if not self.up:
                 raise RigError(f"{self.name}: ended before it listened: {self.last_line()}")
             await asyncio.sleep(LOOK_S)
--- a/tests/agreement/test_protocol.py
+++ b/tests/agreement/test_protocol.py
@@ -75,7 +75,7 @@
         assert isinstance(kept, Keep) and isinstance(spoken, Say)
         # A voter made of what was kept says the same to the next.
         assert Voter(kept.memory, lambda _: b"", verify).memory == seat.memory
-    assert said(seat.take(9, Ask(1, 5))) == [Busy(1, 5)]
+    assert said(seat.take(9, Ask(1, 5, "one"))) == [Busy(1, 5)]
 
 
 def test_a_promise_binds_and_tells_what_was_voted_for() -> None:
@@ -109,18 +109,22 @@
 
 def test_who_lost_its_memory_has_no_vote_and_grants_nothing() -> None:
     seat = voter(memory=Memory(Seat(0, 8), FIRST))
-    for word in (PrepareWord(2, LOW), Accept(LOW, version()), Ask(1, 5)):
+    for word in (PrepareWord(2, LOW), Accept(LOW, version()), Ask(1, 5, "one")):
         assert seat.take(9, word) == []
 
 
+def test_who_holds_another_first_version_gets_no_lease() -> None:
+    assert voter().take(9, Ask(1, 5, "another")) == []
+
+
 def test_who_is_behind_is_told_and_who_is_ahead_is_asked() -> None:
     seat = voter()
     word = decided(version(), 0, 1)
-    assert said(seat.take(9, Ask(2, 5))) == [Behind(1)]
+    assert said(seat.take(9, Ask(2, 5, "two"))) == [Behind(1)]
     assert isinstance(seat.take(9, word)[0], Keep)
     assert seat.pending is None and seat.decided.number == 2
-    assert said(seat.take(9, Ask(1, 5))) == [word] == said(seat.take(9, PrepareWord(2, HIGH)))
-    assert said(seat.take(9, Ask(2, 6))) == [Grant(2, 6, SEATS[0])]
+    assert said(seat.take(9, Ask(1, 5, "one"))) == [word] == said(seat.take(9, PrepareWord(2, HIGH)))
+    assert said(seat.take(9, Ask(2, 6, "two"))) == [Grant(2, 6, SEATS[0])]
 
 
 # Leases
@@ -269,7 +273,7 @@
     Accept(LOW, version()),
     Accepted(2, LOW, Vote(SEATS[0], bytes(64))),
     Outvoted(2, LOW, HIGH),
-    Ask(1, 5),
+    Ask(1, 5, "one"),
     Grant(1, 5, SEATS[0]),
     Busy(1, 5),
     Behind(1),
--- a/tests/rig/test_checks.py
+++ b/tests/rig/test_checks.py
@@ -85,8 +85,7 @@
 
 def test_one_thing_over_two_instances_takes_effect_once() -> None:
     more = {"class": UNSAFE}
-    first = arrival("aa00", t=1.02, **more)
-    second = arrival("aa01", "r1-1", t=1.04, **{**more, "instance": "i1"})
+    first, second = arrival("aa00", t=1.02, **more), arrival("aa01", "r1-1", t=1.04, **more)
     tries = op("aa00", ending="refused", status=503, end=1.01, **more), op("aa01", instance="i1", **more)
     assert "twice" in rules(*tries, *first, *second)
     assert rules(*tries, *second) == []
