Command the agreement: policy init, propose, status; a change names what it was made from

Seen while measuring: two lists made from one version, one right after the other, and the later put back the server that the earlier had dropped (a third of the fleet was down, so that the first took 2 s).

--- a/cedarcross/cli/serve.py
+++ b/cedarcross/cli/serve.py
@@ -221,8 +221,10 @@
             raise Refusal("the list of servers is not agreed on here")
         try:
             content = Path(str(question.get("file"))).read_bytes()
-            return {"change": self.agreed.propose(content, str(question.get("change", "")))}
-        except (OSError, ValueError) as error:
+            after = question.get("after")
+            named = str(question.get("change", ""))
+            return {"change": self.agreed.propose(content, named, int(after) if after is not None else None)}
+        except (OSError, ValueError, TypeError) as error:
             raise Refusal(str(error)) from None
 
     def _force(self, question: Json) -> Json:
--- a/cedarcross/config/reference.py
+++ b/cedarcross/config/reference.py
@@ -7,11 +7,13 @@
 from pydantic.fields import FieldInfo
 
 from cedarcross.config.models import (
+    AgreementTable,
     End,
     FleetFile,
     LogTable,
     Model,
     RequestClassEntry,
+    SeatEntry,
     ServeFile,
     ServerEntry,
     ServersTable,
@@ -21,6 +23,8 @@
     ("An instance's file", ServeFile),
     ("`[[class]]`", RequestClassEntry),
     ("`[servers]`", ServersTable),
+    ("`[agreement]`", AgreementTable),
+    ("`[[agreement.seat]]`", SeatEntry),
     ("`[log]`", LogTable),
     ("A file of servers", FleetFile),
     ("`[[server]]`", ServerEntry),
