--- a/cedarcross/cli/serve.py
+++ b/cedarcross/cli/serve.py
@@ -167,6 +167,11 @@
             await self.control.start()
         return port
 
+    def read_again(self) -> None:
+        """On SIGHUP: the keys of gossip. All else is watched, or for the next start."""
+        if self.daemon.gossip is not None:
+            self.daemon.gossip.rekey()
+
     async def end(self) -> None:
         if self.control is not None:
             self.control.close()
@@ -246,6 +251,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # Danger: what operators send to have keys read again ends a process that does not expect it.
+    loop.add_signal_handler(signal.SIGHUP, instance.read_again)
     port = await instance.start()
     host = read_address(serving.file.listen)[0]
     log.info("serving at %s:%d", host, port)
--- a/cedarcross/rig/drill.py
+++ b/cedarcross/rig/drill.py
@@ -140,7 +140,7 @@
             await asyncio.sleep(stated.for_s)
             await fault.put_right()
             self._say(f"{time.monotonic() - self._start_s:6.2f} s  put right: {stated.named()}")
-        elif stated.kind in ("list", "spoilt-list", "propose"):
+        elif stated.kind in ("list", "spoilt-list", "propose", "rotate"):
             fault.end_s = time.monotonic()
         else:
             # It lasts: what has to be seen of it is seen at the plan's end.
--- a/cedarcross/rig/faults.py
+++ b/cedarcross/rig/faults.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import os
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -21,6 +22,7 @@
     Helper,
     RigError,
     sockets,
+    states,
     stop_signal,
     waited_s,
 )
@@ -61,6 +63,8 @@
             await self._each(self._list)
         elif kind == "propose":
             await self._each(self._propose)
+        elif kind == "rotate":
+            await self._each(self._rotate)
         elif kind == "bad-start":
             await self._each(self._bad_start)
         elif kind == "busy":
@@ -124,7 +128,7 @@
         if not await child.until("T", 0.0) and not child.up:
             raise self._unseen(name, "it ended while it was stopped")
         self.fleet.say_state(name, "going")
-        child.signal(18)  # SIGCONT
+        child.signal(signal.SIGCONT)
         if not await child.until("!T"):
             raise self._unseen(name, "it did not go on")
 
@@ -170,7 +174,7 @@
         self.fleet.ended_by_plan.add(name)
         self.fleet.say_state(name, "killed")
         child = self.fleet.instances[name]
-        child.signal(9)
+        child.signal(signal.SIGKILL)
         if await child.ended(DIES_S) != -9:
             raise self._unseen(name, "it had ended by itself")
 
@@ -319,6 +323,27 @@
                     spoilt=False, version=fleet.version,
                 )  # fmt: skip
 
+    async def _rotate(self, name: str) -> None:
+        """As operators do: the file is replaced, and who is up is told to read it again. Who is stopped hears
+        of it when it goes on."""
+        child, groups = self.fleet.instances[name], self.stated.groups
+        begin = child.log.stat().st_size
+        self.fleet.write_keys(name, groups)
+        if not child.up:
+            self._note(name, read="at its next start")
+            return
+        child.signal(signal.SIGHUP)
+        if states(child.pid) == "T":
+            self._note(name, read="when it goes on")
+            return
+        wanted = f"keys read again: group keys {', '.join(map(str, groups))}".encode()
+        end_s = time.monotonic() + DIES_S
+        while wanted not in child.log.read_bytes()[begin:]:
+            if time.monotonic() > end_s:
+                raise self._unseen(name, "it did not read its keys again")
+            await asyncio.sleep(SAMPLE_S)
+        self._note(name, read="now")
+
     # A core
 
     async def _busy(self, name: str) -> None:
--- a/cedarcross/rig/fleet.py
+++ b/cedarcross/rig/fleet.py
@@ -110,7 +110,8 @@
         if self.plan.fleet.line == "run":
             await self.begin_discovery()
         if self.plan.fleet.gossip or self.plan.fleet.seats:
-            self._write_keys()
+            for name in self.instances:
+                self.write_keys(name, (1,))
         for name in self.instances:
             self.home(name).mkdir(exist_ok=True)
             if self.plan.fleet.line == "serve":
@@ -316,21 +317,22 @@
             text += f'\n[gossip]\nkeys = "{keys}"\nlisten = "{listen}"\nseeds = [{", ".join(seeds)}]\n'
         return text
 
-    def _write_keys(self) -> None:
-        """A key ring for each instance, beside its operators' file."""
+    def write_keys(self, name: str, groups: tuple[int, ...]) -> None:
+        """An instance's key file, with these keys of the group; the first is the one that it sends with."""
         from cedarcross.emulator.town import secret_of
         from cedarcross.membership.keys import Ed25519, issue, keyring_text, write_private
 
         seed = self.plan.seed
         authority = Ed25519(secret_of(seed, "authority"))
-        for name in self.instances:
-            self.home(name).mkdir(exist_ok=True)
-            member, hall = self._number(name) + 1, self._hall(name)
-            secret = secret_of(seed, f"member {member}")
-            card = issue(authority, 1, member, hall, 1, Ed25519(secret).public)
-            groups = {1: secret_of(seed, "group 1")}
-            text = keyring_text(card, hall, secret, groups, {1: authority.public})
-            write_private(self.home(name) / f"{name}.keys", text)
+        self.home(name).mkdir(exist_ok=True)
+        member, hall = self._number(name) + 1, self._hall(name)
+        secret = secret_of(seed, f"member {member}")
+        card = issue(authority, 1, member, hall, 1, Ed25519(secret).public)
+        secrets = {number: secret_of(seed, f"group {number}") for number in groups}
+        text = keyring_text(card, hall, secret, secrets, {1: authority.public})
+        draft = self.home(name) / "keys.new"
+        write_private(draft, text)
+        os.replace(draft, self.home(name) / f"{name}.keys")
 
     def _platform(self, name: str) -> dict[str, Any]:
         day = rack_day(self.plan, self.plan.racks(), halls=True)
--- a/cedarcross/rig/plan.py
+++ b/cedarcross/rig/plan.py
@@ -29,7 +29,7 @@
     "loss", "late", "twice", "reorder",
     "clock",
     "full", "read-only", "slow-disk", "torn", "lost-disk",
-    "list", "spoilt-list", "propose",
+    "list", "spoilt-list", "propose", "rotate",
 ]  # fmt: skip
 
 
@@ -86,6 +86,9 @@
     bytes_per_s: float = Field(2000.0, gt=0, description="trickle")
     rate: float = Field(1.0, ge=0.5, le=2.0, description="clock: seconds that it counts in a second")
     step_s: float = Field(0.0, ge=-86_400, le=86_400, description="clock: by so much the time of day is off")
+    groups: tuple[int, ...] = Field(
+        (), max_length=2, description="rotate: the keys of gossip that are valid; the first is sent with"
+    )
     drop: tuple[str, ...] = Field((), description="list: servers that are not on it any more")
 
     @model_validator(mode="after")
@@ -97,6 +100,8 @@
             raise ValueError(f"to: {self.kind} has one end only")
         if self.kind in ("list", "propose") and not self.drop:
             raise ValueError("drop: missing: which servers leave the list?")
+        if self.kind == "rotate" and not self.groups:
+            raise ValueError("groups: missing: which keys are valid?")
         if self.kind in ("delay", "late", "slow-disk") and not self.ms:
             raise ValueError("ms: missing")
         if self.kind == "clock" and self.rate == 1.0 and not self.step_s:
@@ -153,8 +158,10 @@
                 fault.kind in OF_AGREEMENT and (not self.fleet.seats or len(fault.who) != 1)
             ):
                 raise ValueError(f"fault.{number}: {fault.kind}: lists are agreed on where there are seats")
+            if fault.kind == "rotate" and not self.fleet.gossip:
+                raise ValueError(f"fault.{number}: rotate: there are keys only with gossip")
             if fault.kind in (
-                *OF_LISTS, *OF_AGREEMENT, *OF_DISKS, *OF_CLOCKS, *OF_DATAGRAMS, "bad-start", "busy",
+                "rotate", *OF_LISTS, *OF_AGREEMENT, *OF_DISKS, *OF_CLOCKS, *OF_DATAGRAMS, "bad-start", "busy",
             ):  # fmt: skip
                 if any(not name.startswith("i") for name in fault.who):
                     raise ValueError(f"fault.{number}: who: {fault.kind} befalls instances only")
--- a/tests/rig/test_drills.py
+++ b/tests/rig/test_drills.py
@@ -73,6 +73,22 @@
     assert verdict.outcome == "passed", (verdict.why, verdict.breaches[:3])
 
 
+def test_keys_of_gossip_are_changed_while_one_instance_stands_still(tmp_path: Path) -> None:
+    """Also: `serve` reads them again on SIGHUP, and does not end by it."""
+    everyone = ("i0", "i1", "i2")
+    verdict = played(
+        plan(
+            FaultTable(kind="rotate", who=everyone, groups=(1, 2), at_s=0.5),
+            FaultTable(kind="stop", who=("i2",), at_s=1.0, for_s=1.5),
+            FaultTable(kind="rotate", who=everyone, groups=(2, 1), at_s=1.5),
+            FaultTable(kind="rotate", who=everyone, groups=(2,), at_s=3.5),
+            gossip=True,
+        ),
+        tmp_path,
+    )
+    assert verdict.outcome == "passed", (verdict.why, verdict.breaches[:3])
+
+
 def build(folder: Path, file: str, old: str, new: str) -> str:
     """A copy of the program with one thing broken."""
     made = folder / "broken"
