--- a/tests/agreement/test_drills.py
+++ b/tests/agreement/test_drills.py
@@ -7,7 +7,7 @@
 
 from cedarcross.rig import drill, history
 from cedarcross.rig.drill import Verdict
-from cedarcross.rig.plan import AimTable, FaultTable, FleetTable, LoadTable, Plan
+from cedarcross.rig.plan import After, AimTable, FaultTable, FleetTable, LoadTable, Plan
 from tests.rig.test_drills import build
 
 FLEET = FleetTable(instances=4, racks=2, seats=3, lease_ms=1000.0)
@@ -73,4 +73,16 @@
     assert between and all(r["ending"] == "refused" for r in between)
 
 
+def test_a_seat_killed_when_it_has_switched_is_followed_by_the_others(tmp_path: Path) -> None:
+    """The fault waits for an event: the very line of the log."""
+    change = FaultTable(kind="propose", who=("i0",), at_s=0.8, drop=("r1-2",))
+    when = After(of="i1", log="deciding by version 2")
+    verdict = played(tmp_path, FLEET, change, FaultTable(kind="kill", who=("i1",), when=when, for_s=1.0))
+    assert verdict.outcome == "passed", (verdict.why, verdict.breaches[:3])
+    records = list(history.read(Path(verdict.folder) / "history.jsonl"))
+    said = [r["t"] for r in records if r["kind"] == "log" and "deciding by version 2" in r["line"]]
+    killed = next(r["t"] for r in records if r["kind"] == "state" and r["state"] == "killed")
+    assert min(said) - 0.1 < killed and len(said) == 5  # i1 twice: before its death, and after its return
+
+
 FLEET_NAMES = ("i0", "i1", "i2", "i3")
