Let no seat vote for a version whose body it does not keep, and bound what questions fetch

Read over: a version could be decided while only its author had its body; had that died then, nobody could have prepared it, no lease on the old one would have been renewed, and the whole fleet would have refused. Now a seat fetches and keeps a body before it votes, so that a majority has it. The test kills the author as the change is decided; without the mend the others wait for ever.

--- a/cedarcross/agreement/carrier.py
+++ b/cedarcross/agreement/carrier.py
@@ -19,7 +19,7 @@
 from cedarcross.agreement.node import Action, CanIt, Ended, Node
 from cedarcross.agreement.store import Store
 from cedarcross.agreement.voter import Keep, Say
-from cedarcross.agreement.words import MOST, NotAWord, Seat, Version, Word, decode, encode
+from cedarcross.agreement.words import MOST, Accept, NotAWord, Seat, Version, Word, decode, encode
 from cedarcross.config.fleet import digest_of
 from cedarcross.membership.keys import Keyring
 from cedarcross.membership.link import UdpPort
@@ -35,6 +35,7 @@
 AGAIN_S = 1.0  # between two tries to fetch a body
 MOST_ADDRESSES = 10_000
 MOST_FETCHERS = 32
+MOST_LOOKS = 16  # proposals and versions that are fetched at a time
 
 Check = Callable[[bytes, bool], str]
 """Could this instance decide by that body? "" or why not. True: it is proposed, and can still be refused."""
@@ -144,8 +145,22 @@
         return 0.0
 
     def _take(self, sender: int, word: Word) -> None:
-        if not self._closed:
-            self._do(self.node.take(now_ms(), sender, word))
+        if self._closed:
+            return
+        if isinstance(word, Accept) and self._store.body(word.version.digest) is None:
+            if len(self._tasks) < MOST_LOOKS:
+                self._spawn(self._vote(sender, word))
+            return
+        self._do(self.node.take(now_ms(), sender, word))
+
+    async def _vote(self, sender: int, word: Accept) -> None:
+        """Danger: a version is decided, its author dies, and nobody else has its body: all leases run out. So
+        no seat votes for what it does not keep, and a majority has it before it can be decided."""
+        body = await self._body(word.version)
+        if body is not None and not self._closed:
+            self._keep(body)
+            if self._store.body(word.version.digest) is not None:
+                self._do(self.node.take(now_ms(), sender, word))
 
     # What the node wants
 
@@ -183,7 +198,9 @@
                     assert self._ready is not None and self._ready[0] == version
                     self._switch(*self._ready)
                 case CanIt(to, word):
-                    self._spawn(self._look(to, word.change, word.version))
+                    # Danger: who asks without end has everyone fetch without end.
+                    if len(self._tasks) < MOST_LOOKS:
+                        self._spawn(self._look(to, word.change, word.version))
                 case Ended():
                     log.info("change %s: %s", action.change, action.what)
                     self.ended = [*self.ended[-15:], action]
@@ -215,6 +232,7 @@
         while not self._closed:
             body = await self._body(version)
             if body is not None:
+                self._keep(body)
                 break
             if self.node.holder.known.version.number > version.number:
                 self._do(self.node.prepared(now_ms(), version.number, "overtaken"))
@@ -250,13 +268,18 @@
                 continue
             content = await self._fetch(address, version.digest)
             if content is not None:
-                try:
-                    self._store.keep_body(content)
-                except OSError as error:
-                    log.warning("a body can't be kept: %s", error)
                 return content
         return None
 
+    def _keep(self, body: bytes) -> None:
+        """Of versions that are decided only: what is merely proposed takes no room from them."""
+        known = self.node.holder.known.version
+        ready = (self._ready[0].digest,) if self._ready is not None else ()
+        try:
+            self._store.keep_body(body, (known.digest, *ready))
+        except OSError as error:
+            log.warning("a body can't be kept: %s", error)
+
     async def _fetch(self, address: Address, digest: str) -> bytes | None:
         try:
             async with asyncio.timeout(FETCH_S):
@@ -299,6 +322,6 @@
         why = self._check(content, True)
         if why:
             raise ValueError(why)
-        digest = self._store.keep_body(content)
+        digest = self._store.keep_body(content, (self.node.holder.known.version.digest,))
         others = tuple(n for n in self.node.heard(now_ms()) if n != self.node.me)
         self._do(self.node.propose(now_ms(), digest, change, others))
--- a/cedarcross/agreement/store.py
+++ b/cedarcross/agreement/store.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Collection
 from contextlib import suppress
 from hashlib import blake2b
 from typing import TypeVar
@@ -74,10 +75,12 @@
             return None
         return content if digest_of(content) == digest else None
 
-    def keep_body(self, content: bytes) -> str:
+    def keep_body(self, content: bytes, beside: Collection[str] = ()) -> str:
+        """`beside`: digests of bodies that must stay, whatever else goes for want of room."""
         digest = digest_of(content)
         if self.body(digest) is None:
-            bodies = [name for name in self._files.names() if name.startswith("body-")]
+            needed = {f"body-{each}" for each in beside}
+            bodies = [n for n in self._files.names() if n.startswith("body-") and n not in needed]
             for name in sorted(bodies)[: max(0, len(bodies) - MOST_BODIES)]:
                 with suppress(OSError):
                     self._files.remove(name)
--- a/tests/agreement/test_carrier.py
+++ b/tests/agreement/test_carrier.py
@@ -6,13 +6,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
-from cedarcross.agreement.carrier import Carrier, Peer, seat_verify
+from cedarcross.agreement.carrier import MOST_LOOKS, Carrier, Peer, seat_verify
 from cedarcross.agreement.holder import HolderSettings, Switch
 from cedarcross.agreement.node import Node
 from cedarcross.agreement.store import Store
 from cedarcross.agreement.voter import Memory
-from cedarcross.agreement.words import Ballot, Decided, Seat, Version
+from cedarcross.agreement.words import Ballot, Check, Decided, Seat, Version
 from cedarcross.config.fleet import digest_of
 from cedarcross.config.kept import Folder
 from cedarcross.emulator.town import keyring
@@ -105,6 +106,40 @@
     asyncio.run(run())
 
 
+def test_a_change_outlives_its_author_who_dies_as_soon_as_it_is_decided(tmp_path: Path) -> None:
+    async def test(all_: dict[int, Made]) -> None:
+        author = all_[1]
+        # Alone with its seats: nobody has looked at the body before the vote.
+        digest = author.store.keep_body(b"second")
+        do = author.carrier._do
+
+        def dies(actions: list[Any]) -> None:
+            do(actions)
+            if author.carrier.ended:
+                author.carrier.close()
+
+        author.carrier._do = dies  # type: ignore[method-assign]
+        author.carrier._do(author.carrier.node.propose(now_ms(), digest, "two", ()))
+        await until(lambda: all(all_[n].switched[-1] == (2, b"second") for n in (2, 3, 4)))
+        assert author.carrier._closed and author.switched == [(1, FIRST)]
+
+    fleet(tmp_path, test)
+
+
+def test_a_thousand_questions_at_once_are_a_few_looks_and_leave_nothing(tmp_path: Path) -> None:
+    async def test(all_: dict[int, Made]) -> None:
+        victim = all_[1]
+        for n in range(1000):
+            version = Version(2, f"{n:032x}", (Seat(1, 1),), 4, f"change {n}")
+            victim.carrier._do(victim.carrier.node.take(now_ms(), 4, Check(f"change {n}", version)))
+        assert len(victim.carrier._tasks) <= MOST_LOOKS
+        await until(lambda: not victim.carrier._tasks)
+        assert victim.store.body(digest_of(FIRST)) == FIRST
+        assert len(list((tmp_path / "m1").glob("body-*"))) == 1
+
+    fleet(tmp_path, test)
+
+
 def test_what_speaks_for_a_seat_without_its_signature_is_not_read(tmp_path: Path) -> None:
     async def test(all_: dict[int, Made]) -> None:
         liar, victim = all_[4].carrier, all_[1].carrier
@@ -131,4 +166,7 @@
         assert store.memory() is None
     for n in range(60):
         store.keep_body(b"%d" % n)
-    assert len(list(tmp_path.glob("body-*"))) <= 21
+        assert store.keep_body(b"needed", (digest_of(b"needed"),))
+        store.keep_body(b"more %d" % n, (digest_of(b"needed"),))
+        assert store.body(digest_of(b"needed")) == b"needed"
+    assert len(list(tmp_path.glob("body-*"))) <= 22
