Hear every change of the list before it counts as told, whatever call failed

Cause: after a failed call the balancer waited up to a quarter of must_ask_ms (balance.py, _on_list), which another customer may state as minutes, and a call that was silent from its first byte was kept for 5 s (discovery.py, ANSWER_S). Lists that are indented over lines were never read: each line was parsed by itself, the watch ended and opened anew for ever. A call that was due after stop() or move() opened a watch all the same. An infinite or negative weight was taken in.

Change: stages of a call as named constants whose sum a test holds under 6 s, a dial apart from an answer, at most 1.5 s between two calls; json_lines.py takes the stream apart without I/O; only what is whole counts as a sign of life, and an empty line is no answer to a call for the whole list; stop() is for good, and a watch that stands is not opened again.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -57,6 +57,7 @@
 RETRY_RATIO = 0.1  # retries add at most this share of the served answers
 BACKOFF_BASE_MS = 100.0
 BACKOFF_CAP_MS = 30_000.0
+CALL_AGAIN_MS = 1500.0  # two calls to discovery lie no further apart: what it has counts as told 6 s later
 DEADLINE_MARGIN_MS = 50.0  # a retry closer than this to the deadline is expensive failure
 
 # Ours. Smoothing of what a server is seen to do: about the last ten answers count.
@@ -827,7 +828,7 @@
             self.failed_calls += 1
             # Danger: an unsubscribed proxy counts as told of drains and starts it has not heard of.
             # Ask well inside the time the rule allows, jittered so that the proxies don't ask as one.
-            longest = self.settings.safety.must_ask_ms / 4
+            longest = min(CALL_AGAIN_MS, self.settings.safety.must_ask_ms / 4)
             wait = min(longest, BACKOFF_BASE_MS * 2.0 ** min(self.failed_calls, 16))
             self._set_timer(wait * (0.5 + self.random.random() / 2), lambda: self.actions.append(Subscribe()))
         elif self.failed_calls:
--- a/cedarcross/proxy/daemon.py
+++ b/cedarcross/proxy/daemon.py
@@ -18,8 +18,9 @@
 from cedarcross.operators import NOTHING, Operators
 from cedarcross.proxy.config import Address, Config
 from cedarcross.proxy.core import Core
-from cedarcross.proxy.discovery import Directory, Discovery, Json
+from cedarcross.proxy.discovery import Directory, Discovery
 from cedarcross.proxy.front import Front
+from cedarcross.proxy.json_lines import Json
 from cedarcross.proxy.upstream import OpenSocket, Upstream, open_socket
 from cedarcross.routing.places import Places
 
--- a/cedarcross/proxy/discovery.py
+++ b/cedarcross/proxy/discovery.py
@@ -3,28 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from collections.abc import Callable
-from typing import Any, cast
+from math import isfinite
+from typing import cast
 
 import httptools
 
 from cedarcross.interface import EndpointsListed, EndpointState, ListedEndpoint, ListKind
 from cedarcross.proxy.clock import unix_offset_ms
 from cedarcross.proxy.config import Address, read_address
+from cedarcross.proxy.json_lines import Json, JsonLines
 
-Json = dict[str, Any]
 log = logging.getLogger(__name__)
 
-# A call waits its turn at discovery; longer than this, nothing is coming (a cut-off one says nothing).
-ANSWER_S = 5.0
-# An unchanged watch sends an empty line every 2 s. A connection silent for longer is dead, and says so
-# in no other way.
-SILENCE_S = 3.5
-MAX_LINE = 4 * 1024 * 1024
+# A change counts as told `TOLD_S` after discovery had it and could be reached, whatever call failed, was
+# refused or given up. So whichever of these stages a call is in at that moment, what is left of it, the wait
+# for the next call and that call itself fit in (tests/test_told_in_time.py adds them up).
+TOLD_S = 6.0
+DIAL_S = 1.5  # a dial that has not come up by then: the service can't be reached
+ANSWER_S = 3.5  # a call on an open connection waits its turn at discovery for 3 s at most
+SILENCE_S = 3.5  # an unchanged watch sends an empty line every 2 s; one that is silent for longer is dead
+RETRY_S = 0.5  # between two calls where lists are pushed; else the balancer says when (`CALL_AGAIN_MS`)
+ROOM_S = 1.0  # for the next call's own dial and answer
+
+MAX_MESSAGE = 4 * 1024 * 1024
 STATES = {state.value: state for state in EndpointState}
-RETRY_S = 0.5  # where lists are pushed nobody else asks again
 
 
 class Directory:
@@ -47,7 +51,7 @@
             entries = [(self._entry(e), read_address(str(e["address"]))) for e in message["endpoints"]]
             full = bool(message.get("snapshot"))
             index = int(message["index"])
-        except (KeyError, TypeError, AttributeError, ValueError) as error:
+        except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
             raise ValueError(f"not a list of endpoints: {error!r}") from None
         if full:
             self.entries.clear()
@@ -65,11 +69,14 @@
 
     def _entry(self, raw: Json) -> ListedEndpoint:
         since_ms = float(raw.get("since_ms") or 0)
+        weight = float(raw.get("weight", 1.0))
+        if not isfinite(since_ms) or not 0 <= weight < float("inf"):
+            raise ValueError(f"a weight or start time that is none: {weight}, {since_ms}")
         return ListedEndpoint(
             name=str(raw["name"]),
             zone=str(raw.get("zone", "")),
             cell=int(raw.get("group", 0)),
-            weight=float(raw.get("weight", 1.0)),
+            weight=weight,
             # A status of later years: whatever it means, it is not ready.
             state=STATES.get(raw.get("status", "ready"), EndpointState.DRAINING),
             started_ms=since_ms - self._unix_offset_ms if since_ms else None,
@@ -79,17 +86,19 @@
 class Watch(asyncio.Protocol):
     """One call to discovery, from its dial to its end. It ends once, by calling `ended`."""
 
-    def __init__(self, on_line: Callable[[bytes], None], ended: Callable[[str], None]) -> None:
-        self._on_line = on_line
-        self._ended: Callable[[str], None] | None = ended
+    def __init__(self, on_message: Callable[[Json | None], bool], ended: Callable[[str, bool], None]) -> None:
+        """`on_message`: takes each message, None for an empty line, and says whether it tells that the watch
+        is alive. Raises ValueError for one that is no list."""
+        self._on_message = on_message
+        self._ended: Callable[[str, bool], None] | None = ended
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
-        self._line = bytearray()
+        self._messages = JsonLines(MAX_MESSAGE)
         self._alarm: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
 
     def open(self, address: Address, index: int | None) -> None:
-        self._arm(ANSWER_S)
+        self._arm(DIAL_S)
         self._task = asyncio.get_running_loop().create_task(self._dial(address, index))
 
     async def _dial(self, address: Address, index: int | None) -> None:
@@ -99,14 +108,15 @@
             self.close(f"no connection: {error}")
             return
         if self._transport is not None and self._ended is not None:
+            self._arm(ANSWER_S)
             since = "" if index is None else f"&since={index}"
             host = f"{address[0]}:{address[1]}"
             self._transport.write(
                 f"GET /v1/endpoints?follow=1{since} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
             )
 
-    def close(self, why: str | None = None) -> None:
-        """End it; with a reason, tell of it."""
+    def close(self, why: str | None = None, unreadable: bool = False) -> None:
+        """End it; with a reason, tell of it, and whether it was for what came."""
         ended, self._ended = self._ended, None
         if self._alarm is not None:
             self._alarm.cancel()
@@ -115,7 +125,7 @@
         if self._transport is not None:
             self._transport.abort()
         if ended is not None and why is not None:
-            ended(why)
+            ended(why, unreadable)
 
     def _arm(self, seconds: float) -> None:
         if self._alarm is not None:
@@ -147,17 +157,16 @@
     def on_body(self, body: bytes) -> None:
         if self._ended is None:
             return
-        self._arm(SILENCE_S)
-        self._line += body
-        # Chunks do not end on lines: what follows the last newline waits for the rest.
-        *lines, rest = self._line.split(b"\n")
-        self._line = bytearray(rest)
-        if len(rest) > MAX_LINE:
-            self.close("line too long")
-            return
-        for line in lines:
-            if self._ended is not None:
-                self._on_line(bytes(line).strip())
+        try:
+            for message in self._messages.feed(body):
+                # Only what is whole counts: half a line and then nothing is silence.
+                alive = self._on_message(message)
+                if self._ended is None:
+                    return
+                if alive:
+                    self._arm(SILENCE_S)
+        except ValueError as error:
+            self.close(f"unreadable: {error}", unreadable=True)
 
     def on_message_complete(self) -> None:
         self.close("watch ended")
@@ -174,16 +183,26 @@
         self._directory = directory
         self._told = told
         self._watch: Watch | None = None
+        self._again: asyncio.TimerHandle | None = None  # the next call, where the balancer does not ask
         self._answered = False
+        self._stopped = False
 
     def start(self) -> None:
         if not self._asked:
-            self.subscribe()
+            self._call()
 
     def subscribe(self) -> None:
-        self.stop()
+        """A watch, unless there is one. Danger: a call asked for before the service was moved comes due after
+        it, and ends the watch that the move has opened."""
+        if self._watch is None:
+            self._call()
+
+    def _call(self) -> None:
+        self._drop()
+        if self._stopped:
+            return
         self._answered = False
-        self._watch = Watch(self._on_line, self._failed)
+        self._watch = Watch(self._on_message, self._failed)
         self._watch.open(self._address, self._directory.index)
 
     def move(self, address: Address) -> None:
@@ -193,38 +212,41 @@
             return
         self._address = address
         self._directory.index = None
-        self.subscribe()
+        self._call()
 
     def stop(self) -> None:
+        """For good: whatever was to come opens no watch any more."""
+        self._stopped = True
+        self._drop()
+
+    def _drop(self) -> None:
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
         if self._watch is not None:
             self._watch.close()
             self._watch = None
 
-    def _on_line(self, line: bytes) -> None:
-        if not line:
-            if not self._answered:
-                # Nothing changed since: that is this call's answer.
-                self._answered = True
-                self._told(EndpointsListed(ListKind.DELTA))
-            return
-        try:
-            message = json.loads(line)
-            if not isinstance(message, dict):
-                raise ValueError("not an object")
+    def _on_message(self, message: Json | None) -> bool:
+        if message is not None:
             event = self._directory.apply(message)
-        except ValueError as error:
-            # After a gap deltas no longer fit: ask for the whole list.
-            self._directory.index = None
-            if self._watch is not None:
-                self._watch.close(f"unreadable line: {error}")
-            return
+        elif self._answered:
+            return True
+        elif self._directory.index is None:
+            return False  # the whole list is due: that nothing changed is no answer
+        else:
+            event = EndpointsListed(ListKind.DELTA)  # nothing changed since: that is this call's answer
         self._answered = True
         self._told(event)
+        return True
 
-    def _failed(self, why: str) -> None:
+    def _failed(self, why: str, unreadable: bool) -> None:
         log.warning("discovery: %s", why)
         self._watch = None
+        if unreadable:
+            # After a gap deltas no longer fit: ask for the whole list.
+            self._directory.index = None
         if self._asked:
             self._told(EndpointsListed(ListKind.FAILED))
-        else:
-            asyncio.get_running_loop().call_later(RETRY_S, self.subscribe)
+        elif not self._stopped:
+            self._again = asyncio.get_running_loop().call_later(RETRY_S, self._call)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -141,6 +142,71 @@
     run(test())
 
 
+def test_after_a_stop_nothing_is_called_any_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A call that a failure had asked for came due after the end, and a move then opened a watch of its own.
+    monkeypatch.setattr(module, "RETRY_S", 0.0)
+
+    async def test() -> None:
+        registry = await Registry().start()
+        elsewhere = await Registry().start()
+        told = Told(registry, asked=False)
+        told.discovery.start()
+        await until(lambda: len(registry.watches) == 1)
+        told.discovery._watch.close("lost")  # type: ignore[union-attr]  # the next call is due now
+        told.discovery.stop()
+        told.discovery.subscribe()
+        told.discovery.move(("127.0.0.1", elsewhere.port))
+        probe = Told(registry)
+        await probe.subscribe()  # whatever was due has come before it
+        assert (len(registry.calls), elsewhere.calls) == (2, [])
+        probe.discovery.stop()
+        registry.stop()
+        elsewhere.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_a_call_that_was_due_leaves_the_watch_of_a_move_alone(
+    asked: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "RETRY_S", 0.0)
+
+    async def test() -> None:
+        registry, elsewhere = await Registry().start(), await Registry().start()
+        told = Told(registry, asked=asked)
+        told.discovery.subscribe()
+        await until(lambda: len(registry.watches) == 1)
+        told.discovery._watch.close("lost")  # type: ignore[union-attr]
+        told.discovery.move(("127.0.0.1", elsewhere.port))
+        await until(lambda: len(elsewhere.watches) == 1)
+        if asked:
+            told.discovery.subscribe()  # as the balancer asks after the failure
+        probe = Told(registry)
+        await probe.subscribe()  # whatever was due has come before it
+        elsewhere.say(elsewhere.change(entry(A), full=True))
+        await until(lambda: set(told.directory.entries) == {"a"})
+        assert (len(registry.calls), len(elsewhere.calls)) == (2, 1)
+        probe.discovery.stop()
+        told.discovery.stop()
+        registry.stop()
+        elsewhere.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize("figure", ["weight", "since_ms", "group"])
+@pytest.mark.parametrize("value", ["-Infinity", "NaN", "1e999", '"x"'])
+def test_a_line_with_a_figure_that_is_none_is_taken_in_not_at_all(figure: str, value: str) -> None:
+    # One infinite weight would stay in every mean of the weights.
+    directory = Directory()
+    directory.apply({"index": 1, "snapshot": True, "endpoints": [entry(A)]})
+    bad = json.loads(json.dumps({**entry(B), figure: 0}).replace(f'"{figure}": 0', f'"{figure}": {value}'))
+    with pytest.raises(ValueError, match="not a list"):
+        directory.apply({"index": 2, "snapshot": True, "endpoints": [entry(B), bad]})
+    assert (set(directory.entries), directory.index) == ({"a"}, 1)
+
+
 def test_start_time_is_the_same_whenever_it_is_told() -> None:
     # The balancer takes another start time for a restart and forgets what it knew of the host.
     directory = Directory()
--- /dev/null
+++ b/tests/test_told_in_time.py
@@ -0,0 +1,163 @@
+"""Every change that discovery has, and that can be reached, is acted on before it counts as told.
+
+On a clock that does not wait: the service is away in one of many ways until some moment, has a change then,
+and answers each call that is made from then on. What was called before stays lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from cedarcross.balance import CALL_AGAIN_MS
+from cedarcross.emulator.network import MemoryNetwork
+from cedarcross.emulator.virtual import Scheduler, VirtualLoop
+from cedarcross.interface import EndpointState
+from cedarcross.proxy import discovery as module
+from cedarcross.proxy.clock import driven
+from cedarcross.proxy.core import Core
+from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.upstream import Upstream
+from cedarcross.settings import read_settings
+from tests.sockets import facts
+
+AT = ("127.0.0.1", 8500)
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# How long a call waits its turn once the service is back. A second is what is set aside for the next call.
+TURN_S = 0.3
+
+
+def listed(status: str, index: int) -> bytes:
+    entry = {"name": "a", "address": "127.0.0.1:1", "zone": "z", "group": 1, "status": status}
+    return json.dumps({"index": index, "snapshot": True, "endpoints": [entry]}, indent=1).encode() + b"\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Call(asyncio.Protocol):
+    """One connection to the service."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.service.called(self)
+
+
+class Service:
+    """Discovery: away in one way until it is back. It begins with a list that everybody has heard."""
+
+    def __init__(self, loop: VirtualLoop, network: MemoryNetwork, way: str) -> None:
+        self.loop, self.network, self.way = loop, network, way
+        self.back = False
+        self.calls = 0
+        self.watches: list[Call] = []
+        self.listener = network.listen(loop, lambda: Call(self), AT)
+
+    def called(self, call: Call) -> None:
+        self.calls += 1
+        transport = call.transport
+        if self.back:
+            self.loop.call_later(TURN_S, lambda: transport.write(HEAD + chunk(listed("draining", 2))))
+        elif self.calls == 1:
+            transport.write(HEAD + chunk(listed("ready", 1)))
+            self.watches.append(call)
+            self.loop.call_later(0.1, self.leave)
+        elif self.way == "reset":
+            transport.reset()
+        elif self.way == "503":
+            transport.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        elif self.way == "half a line":
+            transport.write(HEAD + chunk(listed("draining", 2)[:40]))
+        elif self.way == "empty lines":
+            transport.write(HEAD)
+            self.beat(call)
+        # "silent": it says nothing
+
+    def beat(self, call: Call) -> None:
+        if not self.back:
+            call.transport.write(chunk(b"\n"))
+            self.loop.call_later(2.0, self.beat, call)
+
+    def leave(self) -> None:
+        if self.way not in ("silent watch", "half a line"):
+            for call in self.watches:
+                call.transport.reset()
+        if self.way == "refused":
+            self.listener.close()
+        elif self.way == "no dial":
+            self.listener.hold()
+
+    def come_back(self) -> None:
+        self.back = True
+        if self.way == "refused":
+            self.listener = self.network.listen(self.loop, lambda: Call(self), AT)
+        elif self.way == "no dial":
+            self.listener.waiting.clear()  # those were lost on the way
+            self.listener.accepting = True
+
+
+WAYS = ["refused", "no dial", "silent", "silent watch", "reset", "503", "half a line", "empty lines"]
+
+
+def heard_after_s(way: str, asked: bool, away_s: float, seed: int, must_ask_ms: float) -> float:
+    """From the moment when the service could be reached to that at which the change was known."""
+    scheduler = Scheduler()
+    with driven(scheduler.time, scheduler.time):
+        world = scheduler.new_loop("world")
+        network = MemoryNetwork(world)
+        service = Service(world, network, way)
+        machine = network.join(scheduler.new_loop("proxy"))
+        raw = facts()
+        raw["safety"]["must_ask_in_ms"] = must_ask_ms
+        raw["discovery"] = "subscribe" if asked else "automatic"
+        settings = read_settings(raw)
+        directory = Directory()
+        upstream = Upstream(settings.limits, (), 1000.0, 100)
+
+        async def main() -> float:
+            core = Core(settings, seed, directory, upstream)
+            core.discovery = discovery = Discovery(AT, asked, directory, core.told)
+            core.start()
+            discovery.start()
+            while not directory.usable():
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1 + away_s)
+            service.come_back()
+            back_s = scheduler.time()
+            while directory.entries["a"].state is not EndpointState.DRAINING:
+                await asyncio.sleep(0.01)
+                assert scheduler.time() < back_s + 60.0, "it never heard"
+            heard_s = scheduler.time() - back_s
+            discovery.stop()
+            return heard_s
+
+        return scheduler.run(machine, main(), 1000.0)
+
+
+@pytest.mark.parametrize("asked", [True, False], ids=["asked", "pushed"])
+@pytest.mark.parametrize("way", WAYS)
+def test_a_change_is_known_before_it_counts_as_told(way: str, asked: bool) -> None:
+    # Short absences meet the first waits, long ones the longest; customers may state any time to ask in.
+    cases = [(0.57 * step, must_ask_ms) for step in range(24) for must_ask_ms in (3_000.0, 120_000.0)]
+    late = [
+        (away_s, must_ask_ms, heard_s)
+        for number, (away_s, must_ask_ms) in enumerate(cases)
+        if (heard_s := heard_after_s(way, asked, away_s, number, must_ask_ms)) > module.TOLD_S
+    ]
+    assert not late
+
+
+def test_the_stages_of_a_call_add_up() -> None:
+    stage_s = max(module.DIAL_S, module.ANSWER_S, module.SILENCE_S)
+    again_s = max(module.RETRY_S, CALL_AGAIN_MS / 1000.0)
+    assert stage_s + again_s + module.ROOM_S <= module.TOLD_S
+    assert TURN_S < module.ROOM_S
