Look again right before an attempt's first byte: window, drain, lease, client

A trace in a copy (REPEAT lines: when decided, when written) showed a repeat decided 929 ms after the first attempt and written 1,089 ms after it, with a window of 1,000 ms: connections come up late there. Ruled out: the module's own check of the window (it held at each decision), the group, and repeats written on resting connections (written under 2 ms after the decision). At fault: upstream.py, _dial, which handed the request over without asking again.

Change: Send carries write_by_ms; _may_write is asked at the one place before the first byte, for drains, the window, the lease, and whether the client has left, by what the system knows (poll for a closed peer), whether or not the loop has read it. So a client's end behind unread bytes (reading is paused there) or behind a late loop is heard before anything is sent for it. A host is told the time that is left at the write, not at the decision.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -1139,6 +1139,7 @@
             idle_ms = None
         if self.advisor is not None:
             self.advisor.sent(self.now_ms, endpoint.listed, request.asking(self.now_ms))
+        write_by_ms = request.repeats_end_ms()
         request.attempts.append(Attempt(endpoint, self.now_ms, idle_ms))
         if request.cls and pool.crowdable():
             self._wake_in(request, self.latencies[request.cls.name].late_ms(), self._overdue)
@@ -1148,7 +1149,8 @@
         endpoint.in_flight += 1
         if endpoint.held is not None:
             endpoint.held += 1
-        self.actions.append(Send(request.id, endpoint.listed.name, self._useless_ms(request) - self.now_ms))
+        left_ms = self._useless_ms(request) - self.now_ms
+        self.actions.append(Send(request.id, endpoint.listed.name, left_ms, write_by_ms))
 
     def _overdue(self, request: Request) -> None:
         """The last attempt is late, and still out: its end would have dropped the timer.
--- a/cedarcross/interface.py
+++ b/cedarcross/interface.py
@@ -300,6 +300,7 @@
     request_id: int
     endpoint: str
     timeout_ms: float
+    write_by_ms: float = float("inf")  # a repeat whose first byte is not written by then is not to be sent
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -68,6 +68,9 @@
 
     def fail(self, status: int) -> None: ...
 
+    def gone(self) -> bool:
+        """Has whoever asked left, as far as the system knows at this moment?"""
+
 
 class Subscribed(Protocol):
     """What tells of servers."""
@@ -394,6 +397,7 @@
                 name,
                 max(0.0, action.timeout_ms),
                 lambda ended: self._attempt_ended(held, number, name, ended),
+                lambda: self._stands(held, action.write_by_ms),
             )
         # Danger: the balancer numbers all attempts. One left out here, and the end of the next is told under
         # the
@@ -403,6 +407,19 @@
             held.may_have_run -= 1
             self.post(AttemptEnded(held.id, number, Outcome.NOT_SENT, 0.0))
 
+    def _stands(self, held: Held, write_by_ms: float) -> bool:
+        """Asked right before an attempt's first byte: may it still be written?"""
+        if held.id not in self._held or now_ms() >= write_by_ms:
+            return False
+        if self.leased is not None and not self.leased():
+            return False
+        if held.reply.gone():
+            # Danger: that a client has left is read after all that came before it. While the loop is late, or
+            # reading is paused, its request would still go out.
+            self.left(held.id)
+            return False
+        return True
+
     def _life_of(self, name: str) -> float | None:
         entry = self._directory.entries.get(name)
         return entry.started_ms if entry is not None else None
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -18,6 +18,7 @@
 from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.core import Core
 from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer, end_to_end
+from cedarcross.proxy.peer import Peer
 
 log = logging.getLogger(__name__)
 
@@ -151,6 +152,7 @@
         self._front = front
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self._peer: Peer | None = None
         self._waiting: deque[tuple[ClientRequest | None, BadRequest | None]] = deque()
         self._busy = False  # the request whose turn it is has no final answer yet
         self._current: int | None = None  # its id at the core
@@ -188,12 +190,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # A cast, not a check: the transports of uvloop do not derive from asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        self._peer = Peer(sock.fileno()) if sock is not None else None  # none on a network in memory
         self._front.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = True
         self._waiting.clear()
-        self._transport = None
+        self._transport = self._peer = None
         self._front.closed(self)
         if self._current is not None and self._taker is not None:
             self._taker.left(self._current)
@@ -374,6 +378,15 @@
     def fail(self, status: int) -> None:
         self._answer(status, [], b"")
 
+    def gone(self) -> bool:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return True
+        if self._peer is None or not self._peer.closed():
+            return False
+        self.abort()  # while reading is paused nothing else would end it
+        return True
+
     def close_idle(self) -> None:
         """Close it if it is between requests."""
         if self.idle and self._transport is not None:
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -65,16 +65,30 @@
     answer: HostAnswer | None = None
 
 
+def always() -> bool:
+    return True
+
+
 class Attempt:
     """One try of a request at one host. It ends exactly once, and tells of it."""
 
-    __slots__ = ("_done", "_timer", "connection", "dial", "entry", "handed_over", "sent_ms", "wire")
+    __slots__ = (
+        "_done", "_request", "_timeout_ms", "_timer", "connection", "dial", "entry", "handed_over", "sent_ms",
+        "stands",
+    )  # fmt: skip
 
     def __init__(
-        self, entry: HostEntry, wire: bytes, timeout_ms: float, done: Callable[[Ended], None]
+        self,
+        entry: HostEntry,
+        request: ClientRequest,
+        timeout_ms: float,
+        done: Callable[[Ended], None],
+        stands: Callable[[], bool],
     ) -> None:
         self.entry = entry
-        self.wire = wire
+        self.stands = stands  # may it still be written, at this moment?
+        self._request = request
+        self._timeout_ms = timeout_ms
         self.sent_ms = now_ms()
         self.handed_over = False  # some of it may have reached the host
         self.connection: HostConnection | None = None
@@ -86,6 +100,10 @@
     def over(self) -> bool:
         return self._done is None
 
+    def wire(self) -> bytes:
+        """What goes to the host at this moment, with the time that is left now."""
+        return self._request.to_wire(self._timeout_ms - (now_ms() - self.sent_ms))
+
     def _timed_out(self) -> None:
         # What never went out can't have run, however long it waited for its connection.
         self.end(Outcome.TIMEOUT if self.handed_over else Outcome.CONNECT_FAILED)
@@ -149,8 +167,9 @@
         self.attempt = attempt
         attempt.connection = self
         self._begin()
+        wire = attempt.wire()
         try:
-            sent = self._sock.send(attempt.wire)
+            sent = self._sock.send(wire)
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError:
@@ -158,8 +177,8 @@
             self.abort()
             return
         attempt.handed_over = True
-        if sent < len(attempt.wire) and self._transport is not None:
-            self._transport.write(attempt.wire[sent:])
+        if sent < len(wire) and self._transport is not None:
+            self._transport.write(wire[sent:])
 
     def quiet(self) -> bool:
         """No end of stream, reset or stray byte is waiting to be read."""
@@ -361,12 +380,17 @@
         name: str,
         timeout_ms: float,
         done: Callable[[Ended], None],
+        stands: Callable[[], bool] = always,
     ) -> Attempt | None:
-        """Begin an attempt; None if there is no such host."""
+        """Begin an attempt; None if there is no such host. `stands` is asked again right before its first
+        byte is written, which may be a whole dial later."""
         entry = self.entries.get(name)
         if entry is None:
             return None
-        attempt = Attempt(entry, request.to_wire(timeout_ms), timeout_ms, done)
+        attempt = Attempt(entry, request, timeout_ms, done, stands)
+        if not self._may_write(attempt):
+            attempt.end(Outcome.NOT_SENT)
+            return attempt
         connection = self._take_idle(entry)
         if connection is not None:
             connection.send(attempt)
@@ -374,6 +398,12 @@
             attempt.dial = asyncio.get_running_loop().create_task(self._dial(attempt))
         return attempt
 
+    def _may_write(self, attempt: Attempt) -> bool:
+        """Danger: between the decision and the first byte lie a dial and whatever held the process up. By
+        then the host may have been drained for too long, the hosts may have forgotten what they would drop a
+        repeat of, and the client may have left."""
+        return not self._too_late(attempt.entry) and attempt.stands()
+
     def _take_idle(self, entry: HostEntry) -> HostConnection | None:
         oldest_ms = now_ms() - self._rest_ms()
         while entry.idle:
@@ -422,7 +452,7 @@
         if attempt.over or connection.lost:
             attempt.end(Outcome.CONNECT_FAILED)
             connection.abort()
-        elif self._too_late(entry):
+        elif not self._may_write(attempt):
             attempt.end(Outcome.NOT_SENT)
             connection.abort()
         else:
--- a/tests/test_not_sent.py
+++ b/tests/test_not_sent.py
@@ -13,11 +13,11 @@
             start = made.upstream.start
             turned_away: list[str] = []
 
-            def vanished(request: Any, endpoint: str, timeout_ms: float, ended: Any) -> Any:
+            def vanished(request: Any, endpoint: str, timeout_ms: float, ended: Any, stands: Any) -> Any:
                 if len(turned_away) < 2:
                     turned_away.append(endpoint)
                     return None
-                return start(request, endpoint, timeout_ms, ended)
+                return start(request, endpoint, timeout_ms, ended, stands)
 
             made.upstream.start = vanished  # type: ignore[method-assign, assignment]
             client = await Client.connect(made.port)
