--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -138,6 +138,14 @@
     )
 
 
+class Phase(Enum):
+    """What a connection still does. It only ever goes on to a later one."""
+
+    OPEN = "open"  # requests are read and answered
+    LAST = "last"  # no further request is read: what is due is answered, then it ends
+    GONE = "gone"  # closed
+
+
 class State(Enum):
     OWING = "owing"  # a whole request is due: nothing, or a part of it, has come
     BUSY = "busy"  # a request is owed its answer
@@ -158,7 +166,7 @@
         self._current: int | None = None  # its id at the core
         self._taker: Core | None = None  # by which it was taken: another may decide by now
         self.writable = True
-        self._closing = False  # no request is taken any more
+        self._phase = Phase.OPEN
         self._unread = b""  # come, but not yet parsed
         self._read = 0  # bytes of the message under way
         self._in_head = True
@@ -179,7 +187,7 @@
 
     @property
     def state(self) -> State:
-        if self._transport is None or self._transport.is_closing():
+        if self._phase is Phase.GONE or self._transport is None or self._transport.is_closing():
             return State.LEAVING
         if self._busy or self._waiting or self._unread:
             return State.BUSY
@@ -195,7 +203,7 @@
         self._front.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._closing = True
+        self._phase = Phase.GONE
         self._waiting.clear()
         self._transport = self._peer = None
         self._front.closed(self)
@@ -204,7 +212,7 @@
             self._current = self._taker = None
 
     def data_received(self, data: bytes) -> None:
-        if self._closing:
+        if self._phase is not Phase.OPEN:
             return
         self._unread += data
         if self._front.catching_up():
@@ -215,7 +223,7 @@
             self._go_on()
 
     def _parse(self) -> None:
-        while self._unread and not self._closing and len(self._waiting) < MAX_AHEAD:
+        while self._unread and self._phase is Phase.OPEN and len(self._waiting) < MAX_AHEAD:
             piece, self._unread = self._unread[:PIECE], self._unread[PIECE:]
             # Counted here too: the parser keeps a header to itself until it ends, and it need not end.
             self._read += len(piece)
@@ -234,15 +242,14 @@
 
     def _reject(self, error: BadRequest) -> None:
         """Answer it when its turn comes, and read no further."""
-        if self._closing:
+        if self._phase is not Phase.OPEN:
             return
         counted = self._front.core.counted
         if counted is not None and error.status == 404:
             # Danger: a policy that lacks a class turns all of it away, and looks as good as the one before.
             counted(NO_CLASS, False)
         self._waiting.append((None, error))
-        self._closing = True
-        self._unread = b""
+        self._read_no_further()
 
     def pause_writing(self) -> None:
         # A reader this slow gets no further answers, so none pile up.
@@ -321,8 +328,7 @@
             self._front.open_id(request.trace_id)
         self._waiting.append((request, None))
         if not self._parser.should_keep_alive():
-            self._closing = True  # what follows is nobody's request
-            self._unread = b""
+            self._read_no_further()  # what follows is nobody's request
 
     # Answers
 
@@ -350,12 +356,11 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        closing = self._closing or self._front.ending or self._front.crowded() or self._front.idle_many()
+        closing = self._phase is Phase.LAST or self._front.wants_fewer()
         last = closing and not self._waiting and not self._unread
         transport.write(answer_bytes(status, headers, body, last))
         if last:
-            self._closing = True
-            transport.close()
+            self._close()
         elif self._waiting or self._unread:
             asyncio.get_running_loop().call_soon(self._go_on)
         self._front.moved(self)
@@ -390,13 +395,11 @@
     def close_idle(self) -> None:
         """Close it if it is between requests."""
         if self.idle and self._transport is not None:
-            self._closing = True
-            self._transport.close()
-            self._front.moved(self)
+            self._close()
 
     def lose_patience(self) -> None:
         """No whole request has come in good time. Who has sent a part of one is told so."""
-        if self._begun and not self._closing:
+        if self._begun and self._phase is Phase.OPEN:
             self._reject(BadRequest(408, "the request did not come to its end"))
             self._next()
         else:
@@ -404,10 +407,20 @@
 
     def abort(self) -> None:
         if self._transport is not None:
-            self._closing = True
+            self._phase = Phase.GONE
             self._transport.abort()
             self._front.moved(self)
 
+    def _read_no_further(self) -> None:
+        self._phase = Phase.LAST
+        self._unread = b""
+
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._phase = Phase.GONE
+            self._transport.close()
+            self._front.moved(self)
+
 
 class Front:
     """All connections of the application."""
@@ -479,6 +492,10 @@
     def _in_use(self) -> int:
         return len(self.connections) - len(self._since[State.LEAVING])
 
+    def wants_fewer(self) -> bool:
+        """Should the next answer be its connection's last?"""
+        return self.ending or self.crowded() or self.idle_many()
+
     def crowded(self) -> bool:
         """So many connections that each is closed with its answer: past the limit on descriptors new
         ones would be dropped with the requests that they carry."""
