End client connections without a reset: shut, drop what still comes, then close

Need: a socket closed over bytes that nobody has read resets the connection, and the last answer goes with it (front.py, _answer, close_idle; shown on loopback: the client gets ECONNRESET in place of its answer). Also found by reading, each shown by a test that fails on the code before: a request that had come whole before the close was dropped; a client that takes no answers, with requests ahead, kept its descriptor for good; what clients send ahead of their turn was bounded for each connection alone, so that some hundreds could take all of the memory.

Change: once all is answered the sending side is shut, what comes is dropped within 64 KB and 2 s, then it is closed. Before a connection is ended the system is asked whether a request waits there. Ended ones count as descriptors: the oldest are closed where the table runs full. The process waits for what is owed, and 0.5 s more for clients to end their sides. The network in memory knows a shut sending side.

--- a/cedarcross/emulator/network.py
+++ b/cedarcross/emulator/network.py
@@ -84,6 +84,7 @@
         self._on_way = 0  # bytes sent and not yet read by the peer
         self._writing_paused = False
         self._closing = False  # we have closed it
+        self._shut = False  # we have ended our sending
         self._lost = False  # connection_lost has been called, or is about to be
         self._ended = False  # the peer sends no more
         self._broken = False  # reset by the peer, with nobody told yet
@@ -142,7 +143,7 @@
         return max(0, self._on_way - BUFFER)
 
     def write(self, data: bytes) -> None:
-        if not self.is_closing():
+        if not self.is_closing() and not self._shut:
             self._transmit(bytes(data))
 
     def writelines(self, pieces: Any) -> None:
@@ -152,9 +153,19 @@
         if self.is_closing():
             return
         self._closing = True
-        self._signal(lambda peer: peer._arrive(None))
+        if not self._shut:
+            self._signal(lambda peer: peer._arrive(None))
         self._lose(None)
 
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        """End our sending alone: what comes is still read."""
+        if not self.is_closing() and not self._shut:
+            self._shut = True
+            self._signal(lambda peer: peer._arrive(None))
+
     def abort(self) -> None:
         self.close()
 
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
+from itertools import islice
 from typing import cast
 from urllib.parse import unquote
 
@@ -31,9 +32,13 @@
 # answer to be taken. Clients send at once: who has sent nothing, or half, by then is owed an end.
 PATIENCE_MS = 2000.0
 SWEEP_S = 0.25
+MOST_DROPPED = 64 * 1024  # of what comes after a connection's last request
+MOST_AHEAD = 8 * 1024 * 1024  # of what all clients together have sent ahead of its turn
+LAST_TAKEN_S = 0.5  # at the end of the process: for clients to end their sides, when nothing is owed any more
 # A sweep that comes so late tells that the process stood still. What had come by then waits for
 # `LOOK_AGAIN_S` before it is begun, and so does what comes in the next `CATCH_UP_S`: time to hear who left.
 STALL_S, CATCH_UP_S, LOOK_AGAIN_S = 0.5, 0.1, 0.02
+LOOKED_THROUGH = 8  # connections, for one that can be ended
 OVER_MOST = 32  # connections beyond `most` that are still taken, while all others are busy
 FRAMING_SIZES = frozenset(map(len, (b"content-length", b"transfer-encoding", b"expect")))
 REWORDED = (b"x-expires-in-ms", b"expect")  # the proxy words these itself, or has answered them
@@ -143,6 +148,7 @@
 
     OPEN = "open"  # requests are read and answered
     LAST = "last"  # no further request is read: what is due is answered, then it ends
+    SHUT = "shut"  # all is answered and our sending is shut: what comes is dropped until the client ends it
     GONE = "gone"  # closed
 
 
@@ -150,6 +156,7 @@
     OWING = "owing"  # a whole request is due: nothing, or a part of it, has come
     BUSY = "busy"  # a request is owed its answer
     RESTING = "resting"  # between requests
+    BLOCKED = "blocked"  # its client does not take the answers that are written
     LEAVING = "leaving"  # closed, with its last answer perhaps still to be taken
 
 
@@ -168,6 +175,8 @@
         self.writable = True
         self._phase = Phase.OPEN
         self._unread = b""  # come, but not yet parsed
+        self._dropped = 0  # bytes that came after the last request
+        self._counted = 0  # bytes of it in the front's count of what waits
         self._read = 0  # bytes of the message under way
         self._in_head = True
         self._begun = False  # a part of a message has come
@@ -187,8 +196,11 @@
 
     @property
     def state(self) -> State:
-        if self._phase is Phase.GONE or self._transport is None or self._transport.is_closing():
+        ended = self._phase in (Phase.SHUT, Phase.GONE)
+        if ended or self._transport is None or self._transport.is_closing():
             return State.LEAVING
+        if not self._busy and not self.writable:
+            return State.BLOCKED
         if self._busy or self._waiting or self._unread:
             return State.BUSY
         return State.RESTING if self._asked and not self._begun else State.OWING
@@ -205,6 +217,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._phase = Phase.GONE
         self._waiting.clear()
+        self._unread = b""
+        self._count()
         self._transport = self._peer = None
         self._front.closed(self)
         if self._current is not None and self._taker is not None:
@@ -213,6 +227,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._phase is not Phase.OPEN:
+            self._drop(data)
             return
         self._unread += data
         if self._front.catching_up():
@@ -222,6 +237,16 @@
         else:
             self._go_on()
 
+    def _drop(self, data: bytes) -> None:
+        """Danger: who sends on and on is read for ever, or never hears the answer that is due to it."""
+        self._dropped += len(data)
+        if self._dropped <= MOST_DROPPED or self._transport is None:
+            return
+        if self._phase is Phase.SHUT:
+            self.abort()
+        elif self._phase is Phase.LAST:
+            self._transport.pause_reading()  # until the answers that are due are out
+
     def _parse(self) -> None:
         while self._unread and self._phase is Phase.OPEN and len(self._waiting) < MAX_AHEAD:
             piece, self._unread = self._unread[:PIECE], self._unread[PIECE:]
@@ -254,6 +279,7 @@
     def pause_writing(self) -> None:
         # A reader this slow gets no further answers, so none pile up.
         self.writable = False
+        self._front.moved(self)
 
     def resume_writing(self) -> None:
         self.writable = True
@@ -268,6 +294,13 @@
         elif not self._transport.is_reading():
             self._transport.resume_reading()
 
+    def _count(self) -> int:
+        """Bytes that it keeps ahead of their turn, told to the front."""
+        ahead = len(self._unread) + sum(len(request.body) for request, _ in self._waiting if request)
+        self._front.waits(ahead - self._counted)
+        self._counted = ahead
+        return ahead
+
     # The parser's side
 
     def on_message_begin(self) -> None:
@@ -358,9 +391,12 @@
             return
         closing = self._phase is Phase.LAST or self._front.wants_fewer()
         last = closing and not self._waiting and not self._unread
+        if last and self._phase is Phase.OPEN and self._peer is not None:
+            # Danger: a request that has come whole, and is not read yet, would be dropped with what follows.
+            last = not self._peer.has_sent()
         transport.write(answer_bytes(status, headers, body, last))
         if last:
-            self._close()
+            self._shut()
         elif self._waiting or self._unread:
             asyncio.get_running_loop().call_soon(self._go_on)
         self._front.moved(self)
@@ -370,6 +406,11 @@
             return
         self._parse()
         self._next()
+        if self._count() and self._front.overfull():
+            # Danger: many that send much at once, and take all of the memory. What is parsed is answered.
+            self._reject(BadRequest(413, "too much ahead of its turn"))
+            self._next()
+            self._count()
         self._hold_back()
         self._front.moved(self)
 
@@ -393,9 +434,9 @@
         return True
 
     def close_idle(self) -> None:
-        """Close it if it is between requests."""
-        if self.idle and self._transport is not None:
-            self._close()
+        """End it if it is between requests, with nothing of a next one on hand."""
+        if self.idle and self._phase is Phase.OPEN and not (self._peer is not None and self._peer.has_sent()):
+            self._shut()
 
     def lose_patience(self) -> None:
         """No whole request has come in good time. Who has sent a part of one is told so."""
@@ -415,11 +456,20 @@
         self._phase = Phase.LAST
         self._unread = b""
 
-    def _close(self) -> None:
-        if self._transport is not None:
-            self._phase = Phase.GONE
-            self._transport.close()
-            self._front.moved(self)
+    def _shut(self) -> None:
+        """All is answered: nothing more goes out, and what still comes is read and dropped until the client
+        ends its side too, within bounds of bytes and time.
+        Danger: a socket closed over bytes that nobody has read resets the connection, and an answer that the
+        client has not taken yet is lost with it."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        self._phase = Phase.SHUT
+        self._unread = b""
+        transport.write_eof()
+        if not transport.is_reading():
+            transport.resume_reading()
+        self._front.moved(self)
 
 
 class Front:
@@ -445,8 +495,8 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._behind_ms = 0.0  # until then it catches up after a stop
-        self._empty = asyncio.Event()
-        self._empty.set()
+        self._ahead = 0  # bytes that wait for their turn, on all connections
+        self._changed = asyncio.Event()  # a connection has moved on, or closed
 
     def adopt(self, core: Core, settings: Settings, ready: Callable[[], bool]) -> None:
         """By another policy from now on; what was taken ends where it was taken."""
@@ -464,19 +514,25 @@
 
     def opened(self, connection: ClientConnection) -> None:
         self._enter(connection, connection.state)
-        self._empty.clear()
         if self._sweeper is None:
             self._sweep_later()
-        if self.crowded():
-            # Descriptors run short. Who never asked goes first, then who rests longest: a connection
-            # between requests may be closed at any time, but it may carry a good client's next one.
-            for state in (State.OWING, State.RESTING):
-                oldest = next(iter(self._since[state]), connection)
-                if oldest is not connection:
+        if self.crowded() and not self._make_room(connection) and self._in_use() > self._most + OVER_MOST:
+            connection.abort()
+        # Those that we have ended hold their descriptors until their clients end them too.
+        over = len(self.connections) - self._most - OVER_MOST
+        for leaving in list(islice(self._since[State.LEAVING], max(0, over))):
+            leaving.abort()
+
+    def _make_room(self, new: ClientConnection) -> bool:
+        """Descriptors run short. Who never asked goes first, then who rests longest: a connection between
+        requests may be closed at any time, but it may carry a good client's next one, and then stays."""
+        for state in (State.OWING, State.RESTING):
+            for oldest in list(islice(self._since[state], LOOKED_THROUGH)):
+                if oldest is not new:
                     oldest.lose_patience()
-                    return
-            if self._in_use() > self._most + OVER_MOST:
-                connection.abort()
+                    if oldest.state is not state:
+                        return True
+        return False
 
     def moved(self, connection: ClientConnection) -> None:
         """Its state may be another one now."""
@@ -484,6 +540,7 @@
         if before is not None and before is not now:
             del self._since[before][connection]
             self._enter(connection, now)
+            self._changed.set()
 
     def _enter(self, connection: ClientConnection, state: State) -> None:
         self.connections[connection] = state
@@ -510,8 +567,14 @@
         state = self.connections.pop(connection, None)
         if state is not None:
             del self._since[state][connection]
-        if not self.connections:
-            self._empty.set()
+            self._changed.set()
+
+    def waits(self, more: int) -> None:
+        """So many bytes more (or fewer) wait for their turn."""
+        self._ahead += more
+
+    def overfull(self) -> bool:
+        return self._ahead > MOST_AHEAD
 
     def open_id(self, trace_id: bytes) -> None:
         """Raises BadRequest if a request has it already, or had it just now."""
@@ -551,6 +614,7 @@
         late_ms = now_ms() - PATIENCE_MS
         for state, end in (
             (State.OWING, ClientConnection.lose_patience),
+            (State.BLOCKED, ClientConnection.abort),
             (State.LEAVING, ClientConnection.abort),
         ):
             for connection in [c for c, since_ms in self._since[state].items() if since_ms <= late_ms]:
@@ -570,8 +634,16 @@
             self._server.close()
         for connection in list(self.connections):
             connection.close_idle()
+        if not await self._until_none(self._in_use, longest_s):
+            log.warning("%d connections still open at the end", self._in_use())
+        await self._until_none(lambda: len(self.connections), LAST_TAKEN_S)
+
+    async def _until_none(self, count: Callable[[], int], longest_s: float) -> bool:
         try:
             async with asyncio.timeout(longest_s):
-                await self._empty.wait()
+                while count():
+                    self._changed.clear()
+                    await self._changed.wait()
         except TimeoutError:
-            log.warning("%d connections still open at the end", len(self.connections))
+            return False
+        return True
--- /dev/null
+++ b/tests/test_lingering.py
@@ -0,0 +1,263 @@
+"""How a connection to a client ends: no reset under an answer, nothing taken after it, all of it bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from cedarcross.proxy import front as module
+from cedarcross.proxy.front import ClientConnection, Phase
+from cedarcross.proxy.messages import Headers
+from tests.sockets import KEYED_CLASS, UNSAFE_CLASS, Client, Got, Host, Proxy, http, proxy, run, until
+from tests.test_before_the_write import patient
+
+WORDED = Client(None, None).worded  # type: ignore[arg-type]
+
+
+def connected(p: Proxy) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", p.port))
+
+
+def at_once(client: Client, data: bytes) -> None:
+    """Into the system's hands, before the loop turns."""
+    os.write(client.writer.get_extra_info("socket").fileno(), data)
+
+
+async def only(p: Proxy) -> ClientConnection:
+    await until(lambda: len(p.front.connections) == 1)
+    (connection,) = p.front.connections
+    return connection
+
+
+async def received(client: socket.socket) -> bytes:
+    """All that comes up to the end of the stream. Raises ConnectionResetError where it is reset."""
+    client.setblocking(False)
+    loop, come = asyncio.get_running_loop(), b""
+    while piece := await loop.sock_recv(client, 65536):
+        come += piece
+    return come
+
+
+def as_it_shuts(happen: Callable[[], None], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let it happen in the very moment before a connection is shut: too late to be looked at."""
+    shut = ClientConnection._shut
+
+    def shutting(self: ClientConnection) -> None:
+        happen()
+        shut(self)
+
+    monkeypatch.setattr(ClientConnection, "_shut", shutting)
+
+
+@pytest.mark.parametrize("cls", [KEYED_CLASS, UNSAFE_CLASS])
+def test_bytes_that_arrive_as_it_is_closed_do_not_destroy_the_last_answer(
+    cls: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        host = Host("h")
+        async with proxy(host, settings=patient()) as p:
+            client = connected(p)
+            # The answer fills the client's small window: most of it is not taken when the next bytes come.
+            as_it_shuts(lambda: client.sendall(WORDED(cls, body=b"late")), monkeypatch)
+            client.sendall(WORDED(cls, expires_ms=600_000, Connection="close"))
+            come = await received(client)
+            assert come.startswith(b"HTTP/1.1 200") and come.endswith(b"from h")
+            client.close()
+            await until(lambda: not p.front.connections)
+            assert len(host.got) == 1  # what came after the shutdown went nowhere
+
+    run(test())
+
+
+def test_a_resting_connection_is_shut_not_reset_and_what_crosses_that_is_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        host = Host("h")
+        async with proxy(host) as p:
+            client = connected(p)
+            client.sendall(WORDED())
+            connection = await only(p)
+            await until(lambda: len(host.got) == 1 and connection.idle)
+            as_it_shuts(lambda: client.sendall(WORDED()), monkeypatch)
+            connection.close_idle()
+            come = await received(client)  # no reset: the client knows that its second request was not read
+            assert come.count(b"HTTP/1.1 200") == 1
+            client.close()
+            await until(lambda: not p.front.connections)
+            assert len(host.got) == 1
+
+    run(test())
+
+
+def test_a_request_on_hand_keeps_a_resting_connection_open() -> None:
+    async def test() -> None:
+        host = Host("h")
+        async with proxy(host) as p:
+            client = await Client.connect(p.port)
+            assert (await client.ask())[0] == 200
+            connection = await only(p)
+            at_once(client, client.worded())
+            connection.close_idle()  # in the same turn of the loop
+            assert (await client.answer())[0] == 200
+            client.close()
+
+    run(test())
+
+
+def test_a_request_on_hand_is_answered_before_the_connection_ends() -> None:
+    # Over the limit each answer ends its connection, but not over a request that has come whole.
+    async def held(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(http(200, got.body))
+
+    release = asyncio.Event()
+
+    async def test() -> None:
+        async with proxy(Host("h", held), at_rest=0) as p:
+            client = await Client.connect(p.port)
+            client.send(body=b"one")
+            await until(lambda: p.core.held == 1)
+            release.set()
+            answer = ClientConnection._answer
+
+            def answered(self: ClientConnection, status: int, headers: Headers, body: bytes) -> None:
+                if body == b"one":
+                    at_once(client, client.worded(body=b"two"))
+                answer(self, status, headers, body)
+
+            ClientConnection._answer = answered  # type: ignore[method-assign]
+            try:
+                answers = [await client.answer() for _ in range(2)]
+            finally:
+                ClientConnection._answer = answer  # type: ignore[method-assign]
+            assert [body for _, _, body in answers] == [b"one", b"two"]
+            assert [headers.get("connection") for _, headers, _ in answers] == [None, "close"]
+            client.close()
+
+    run(test())
+
+
+def test_who_never_ends_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "PATIENCE_MS", 50.0)
+
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            client = connected(p)
+            client.sendall(WORDED(Connection="close"))
+            assert (await received(client)).startswith(b"HTTP/1.1 200")
+            await until(lambda: not p.front.connections)  # by time
+            client.close()
+
+    run(test())
+
+
+def test_who_floods_behind_the_end_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "PATIENCE_MS", 600_000.0)
+
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            client = connected(p)
+            client.sendall(WORDED(Connection="close"))
+            connection = await only(p)
+            await until(lambda: connection._phase is Phase.SHUT)
+            client.setblocking(False)
+            with pytest.raises(ConnectionError):
+                for _ in range(10_000):
+                    await asyncio.get_running_loop().sock_sendall(client, b"x" * 65536)
+            await until(lambda: not p.front.connections)  # by bytes
+            client.close()
+
+    run(test())
+
+
+def test_connections_that_are_shut_give_their_descriptors_to_new_ones() -> None:
+    # They were not counted: ended ones whose clients kept theirs filled the table.
+    async def test() -> None:
+        async with proxy(Host("h"), most=2) as p:
+            kept = []
+            for _ in range(2 + module.OVER_MOST + 20):
+                client = connected(p)
+                client.sendall(WORDED(Connection="close"))
+                assert (await received(client)).startswith(b"HTTP/1.1 200")
+                kept.append(client)
+                assert len(p.front.connections) <= 2 + module.OVER_MOST + 1
+            for client in kept:
+                client.close()
+
+    run(test())
+
+
+def test_the_end_waits_for_what_is_owed_and_not_for_who_rests(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "LAST_TAKEN_S", 0.05)
+
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            client = connected(p)
+            client.sendall(WORDED())
+            connection = await only(p)
+            await until(lambda: connection.idle and connection._asked)
+            await p.front.end(0.0, 600.0)  # the client never ends its side
+            assert connection._phase is Phase.SHUT
+            client.close()
+
+    run(test())
+
+
+def test_who_takes_no_answers_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    # With requests ahead of their turn it counted as busy, for good, and kept its descriptor.
+    monkeypatch.setattr(module, "PATIENCE_MS", 50.0)
+
+    async def large(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        writer.write(http(200, b"x" * 64 * 1024))
+
+    async def test() -> None:
+        async with proxy(Host("h", large), settings=patient()) as p:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", p.port))
+            client.setblocking(False)
+            many = b"".join(WORDED(expires_ms=600_000) for _ in range(200))
+            await asyncio.get_running_loop().sock_sendall(client, many)
+            connection = await only(p)
+            await until(lambda: not connection.writable)
+            await until(lambda: not p.front.connections)
+            client.close()
+
+    run(test())
+
+
+def test_what_clients_send_ahead_is_bounded_over_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Each may send a whole buffer ahead of its turn; some hundreds together took all of the memory.
+    monkeypatch.setattr(module, "MOST_AHEAD", 200_000)
+
+    async def held(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(http(200))
+
+    release = asyncio.Event()
+
+    async def test() -> None:
+        async with proxy(Host("h", held), settings=patient()) as p:
+            clients = [await Client.connect(p.port) for _ in range(8)]
+            for client in clients:
+                for _ in range(31):
+                    client.writer.write(client.worded(body=b"x" * 8000, expires_ms=600_000))
+                await client.writer.drain()
+            good = await Client.connect(p.port)
+            good.send(body=b"good", expires_ms=600_000)
+            await until(lambda: p.core.held == 9)
+            assert p.front._ahead <= 200_000 + 8 * 260_000
+            assert any(connection._phase is Phase.LAST for connection in p.front.connections)
+            release.set()
+            assert (await good.answer())[0] == 200  # who sends one at a time notices nothing
+            for client in [*clients, good]:
+                client.close()
+            await until(lambda: not p.front.connections)
+            assert p.front._ahead == 0
+
+    run(test())
