Tell the file and key of a bad setting; judge no class by an aim that nothing has met

Found with that: a class whose aim is far above what its clients wait was refused for good, since a quarter of the aim stands in for its latency until the first answer (balance.py, _hopeless).

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -1069,8 +1069,12 @@
 
     def _hopeless(self, request: Request) -> bool:
         """Danger: what comes with next to no time left, or is found so after a stall, is work for nobody.
-        Harm: one that would have been answered unusually fast is lost."""
-        least_ms = self.latencies[request.cls.name].base_ms * HASTE if request.cls else 0.0
+        Harm: one that would have been answered unusually fast is lost. Of a class with no answer yet little
+        is asked: its aim may be far above what its clients wait, and then nothing would ever be known."""
+        usual = self.latencies.get(request.class_name)
+        least_ms = usual.base_ms * HASTE if usual is not None else 0.0
+        if usual is not None and not usual.seen:
+            least_ms = min(least_ms, DEADLINE_MARGIN_MS)
         return self._useless_ms(request) - self.now_ms <= least_ms
 
     @staticmethod
--- a/cedarcross/proxy/config.py
+++ b/cedarcross/proxy/config.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cedarcross.facts import Facts, shown
 from cedarcross.interface import Settings
 from cedarcross.settings import read_settings
 
@@ -34,25 +35,25 @@
     peers: tuple[Address, ...] = ()
 
 
-def read_address(text: str) -> Address:
-    """`IP:port`, IPv6 in brackets. There is no DNS."""
+def read_address(text: str, what: str = "") -> Address:
+    """`IP:port`, IPv6 in brackets. There is no DNS. `what` begins the text of an error."""
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     try:
         ipaddress.ip_address(host)
         number = int(port)
     except ValueError:
-        raise ConfigError(f"not an address of the form IP:port: {text!r}") from None
+        raise ConfigError(f"{what}not an address of the form IP:port: {shown(text)}") from None
     if not 0 <= number < 65536:
-        raise ConfigError(f"port out of range: {text!r}")
+        raise ConfigError(f"{what}port out of range: {shown(text)}")
     return host, number
 
 
 def read_seed(value: object) -> int:
     try:
         return int(value, 16) if isinstance(value, str) else int(value)  # type: ignore[call-overload]
-    except (TypeError, ValueError):
-        raise ConfigError(f"seed is neither a number nor hexadecimal: {value!r}") from None
+    except (TypeError, ValueError, OverflowError):
+        raise ConfigError(f"seed: neither a number nor hexadecimal: {shown(value)}") from None
 
 
 def load(env: Mapping[str, str], again: bool = False) -> Config:
@@ -73,26 +74,25 @@
     """What the file at `path` holds, with the environment. Raises ConfigError."""
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not a JSON object")
+    facts = Facts(raw, "")
     try:
-        settings = read_settings(raw["settings"])
-        listen = env.get("LB_LISTEN") or raw["listen"]
-        discovery = raw["discovery"] if again else env.get("LB_DISCOVERY") or raw["discovery"]
-        limits = raw.get("limits") or {}
-        peer_listen = raw.get("peer_listen")
+        limits = Facts(raw.get("limits") or {}, "limits")
+        peers = facts.texts("peers") if raw.get("peers") else ()
         return Config(
             name=str(env.get("LB_NAME") or raw.get("name", "")),
-            listen=read_address(str(listen)),
-            discovery=read_address(str(discovery)),
+            listen=stated_address(facts, "listen", env.get("LB_LISTEN")),
+            discovery=stated_address(facts, "discovery", None if again else env.get("LB_DISCOVERY")),
             seed=read_seed(raw.get("seed", 0)),
-            settings=settings,
+            settings=read_settings(facts.raw("settings")),
             known=raw.get("known") if isinstance(raw.get("known"), dict) else None,
-            sockets=int(limits.get("sockets", DEFAULT_SOCKETS)),
-            peer_listen=read_address(str(peer_listen)) if peer_listen else None,
-            peers=tuple(read_address(str(peer)) for peer in raw.get("peers") or ()),
+            sockets=limits.count("sockets", 1) if "sockets" in limits else DEFAULT_SOCKETS,
+            peer_listen=stated_address(facts, "peer_listen") if raw.get("peer_listen") else None,
+            peers=tuple(read_address(peer, f"peers[{number}]: ") for number, peer in enumerate(peers)),
         )
-    except ConfigError:
-        raise
-    except KeyError as error:
-        raise ConfigError(f"{path}: missing or unknown: {error}") from None
-    except (TypeError, ValueError, AttributeError) as error:
+    except ValueError as error:
         raise ConfigError(f"{path}: {error}") from None
+
+
+def stated_address(facts: Facts, key: str, instead: str | None = None) -> Address:
+    """`instead`: what the environment states, which wins."""
+    return read_address(instead or facts.text(key), f"{key}: ")
--- a/cedarcross/settings.py
+++ b/cedarcross/settings.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
+from cedarcross.facts import Facts, Json
 from cedarcross.interface import (
     AttemptLimit,
     Idempotency,
@@ -18,113 +20,146 @@
     Tenant,
 )
 
-Json = dict[str, Any]
+__all__ = ["Json", "read_settings"]
 
 IDEMPOTENCY = {
     "retryable": Idempotency.SAFE,
     "dedup": Idempotency.KEYED,
     "fragile": Idempotency.UNSAFE,
 }
+SCOPES = {scope.value: scope for scope in RepeatScope}
+REPORTS = {how.value: how for how in Reports}
 
 
-def present(facts: Json, **names: str) -> Json:
+def present(facts: Facts, read: Callable[[str], Any], **names: str) -> Json:
     """Our names for those of the wire's that are there; for the rest interface.py's defaults stand."""
-    return {ours: facts[theirs] for ours, theirs in names.items() if theirs in facts}
+    return {ours: read(theirs) for ours, theirs in names.items() if theirs in facts}
 
 
-def read_class(facts: Json) -> RequestClass:
+def not_negative(facts: Facts) -> Callable[[str], float]:
+    return lambda key: facts.number(key, 0.0)
+
+
+def positive(facts: Facts) -> Callable[[str], float]:
+    return lambda key: facts.number(key, above=0.0)
+
+
+def read_class(facts: Facts) -> RequestClass:
     return RequestClass(
-        name=facts["name"],
-        aim_ms=facts["aim_ms"],
-        deadline_ms=facts["deadline_ms"],
-        idempotency=IDEMPOTENCY[facts["effect"]],
-        repeat_scope=RepeatScope(facts.get("group", "all")),
+        name=facts.text("name"),
+        aim_ms=facts.number("aim_ms", above=0.0),
+        deadline_ms=facts.number("deadline_ms", above=0.0),
+        idempotency=facts.one_of("effect", IDEMPOTENCY),
+        repeat_scope=facts.one_of("group", SCOPES) if "group" in facts else RepeatScope.ALL,
         **present(
             facts,
+            not_negative(facts),
             worth="worth",
-            late_worth="late_worth",
             aim_stretch="aim_stretch",
             repeat_window_ms="window_ms",
-            streamed="stream",
-            in_order="sequential",
         ),
+        **present(facts, facts.share, late_worth="late_worth"),
+        **present(facts, facts.flag, streamed="stream", in_order="sequential"),
     )
 
 
-def read_attempt_limit(safety: Json) -> AttemptLimit | None:
+def read_limits(facts: Facts) -> Limits:
+    return Limits(
+        max_attempts=facts.count("max_attempts", 1),
+        **present(
+            facts, facts.flag, parallel_attempts="parallel_tries", cancel="cancel", probes="probes",
+            retry_after="retry_after",
+        ),
+        **present(facts, positive(facts), connect_timeout_ms="connect_timeout_ms"),
+        **present(
+            facts,
+            not_negative(facts),
+            max_retry_after_ms="max_retry_after_ms",
+            conn_idle_ms="conn_idle_ms",
+            cpu_us_per_s="cpu_us_per_s",
+            cpu_us_per_request="cpu_us_per_request",
+        ),
+        **present(facts, lambda key: facts.count(key, 1), streams_per_conn="streams_per_conn"),
+        **present(facts, facts.count, max_open="max_open"),
+    )  # fmt: skip
+
+
+def read_attempt_limit(safety: Facts) -> AttemptLimit | None:
     if "resend_span_ms" not in safety:
         return None
-    share, free = safety.get("resend_ratio", 0.0), safety.get("free_resends", 0.0)
-    return AttemptLimit(safety["resend_span_ms"], share, free)
+    figures = present(safety, not_negative(safety), share="resend_ratio", free="free_resends")
+    return AttemptLimit(safety.number("resend_span_ms", above=0.0), **{"share": 0.0, **figures})
 
 
-def read_settings(facts: Json) -> Settings:
-    bounds, safety, reporting = facts["bounds"], facts["safety"], facts.get("reporting", {})
-    return Settings(
-        classes=tuple(read_class(c) for c in facts["categories"]),
-        proxies=facts["balancers"],
-        subscribe=facts.get("discovery") == "subscribe",
-        report_fields=tuple(reporting.get("fields", ())),
-        reports=Reports(reporting.get("how", "inline")),
-        worth_by_work=facts.get("counted_by") == "work",
-        warm_keys=facts.get("family_info", {}).get("warm_keys", False),
-        limits=Limits(
-            max_attempts=bounds["max_attempts"],
-            **present(
-                bounds,
-                parallel_attempts="parallel_tries",
-                cancel="cancel",
-                probes="probes",
-                retry_after="retry_after",
-                max_retry_after_ms="max_retry_after_ms",
-                connect_timeout_ms="connect_timeout_ms",
-                conn_idle_ms="conn_idle_ms",
-                streams_per_conn="streams_per_conn",
-                max_open="max_open",
-                cpu_us_per_s="cpu_us_per_s",
-                cpu_us_per_request="cpu_us_per_request",
-            ),
-        ),
-        safety=Safety(
-            cold_share=safety["cold_share"],
-            cold_ms=safety["cold_ms"],
-            push_multiple=safety["fall_multiple"],
-            push_window_ms=safety["fall_ms"],
-            attempts=read_attempt_limit(safety),
-            **present(
-                safety,
-                must_ask_ms="must_ask_in_ms",
-                answer_grace_ms="grace_to_answer_ms",
-                drain_grace_ms="drain_grace_ms",
-                key_rest_ms="key_rest_ms",
-            ),
-        ),
-        prices=Prices(
-            **present(
-                facts.get("prices", {}),
-                cross_zone="cross_zone",
-                probe="probe",
-                waste="waste",
-                late_fail="late_fail",
-                handshake="handshake",
-                connection="connection",
-                discovery="discovery",
-            )
-        ),
-        objective=Objective(
-            **present(
-                facts.get("objective_mix", {}),
-                whole="whole",
-                worst_window="worst_window",
-                worst_class="worst_class",
-                worst_tenant="worst_tenant",
-                tail="tail",
-                tail_slack="tail_slack",
-                nines="log_loss_part",
-                full_at_nines="full_at_nines",
-            )
+def read_safety(facts: Facts) -> Safety:
+    return Safety(
+        cold_share=facts.number("cold_share", above=0.0) and facts.share("cold_share"),
+        cold_ms=facts.number("cold_ms", 0.0),
+        push_multiple=facts.number("fall_multiple", above=0.0),
+        push_window_ms=facts.number("fall_ms", above=0.0),
+        attempts=read_attempt_limit(facts),
+        **present(facts, positive(facts), must_ask_ms="must_ask_in_ms"),
+        **present(
+            facts,
+            not_negative(facts),
+            answer_grace_ms="grace_to_answer_ms",
+            drain_grace_ms="drain_grace_ms",
+            key_rest_ms="key_rest_ms",
         ),
-        tenants=tuple(Tenant(t["name"], t["quota_per_s"]) for t in facts.get("projects", ())),
-        **present(facts, zone="zone", ordinal="ordinal", step_ms="step_ms"),
-        **present(facts, over_quota_worth="over_share_worth"),
+    )
+
+
+def read_prices(facts: Facts) -> Prices:
+    figures = present(
+        facts,
+        not_negative(facts),
+        cross_zone="cross_zone",
+        probe="probe",
+        waste="waste",
+        late_fail="late_fail",
+        handshake="handshake",
+        connection="connection",
+        discovery="discovery",
+    )
+    return Prices(**figures)
+
+
+def read_objective(facts: Facts) -> Objective:
+    figures = present(
+        facts,
+        not_negative(facts),
+        whole="whole",
+        worst_window="worst_window",
+        worst_class="worst_class",
+        worst_tenant="worst_tenant",
+        tail="tail",
+        tail_slack="tail_slack",
+        nines="log_loss_part",
+    )
+    return Objective(**figures, **present(facts, positive(facts), full_at_nines="full_at_nines"))
+
+
+def read_settings(raw: object) -> Settings:
+    """Raises FactError (a ValueError) for what can't be used, with its place. Keys that are not known are
+    passed over."""
+    facts = Facts(raw, "settings")
+    reporting, family = facts.optional("reporting"), facts.optional("family_info")
+    tenants = facts.each("projects") if "projects" in facts else ()
+    return Settings(
+        classes=tuple(read_class(each) for each in facts.each("categories")),
+        proxies=facts.count("balancers", 1),
+        subscribe="discovery" in facts and facts.text("discovery") == "subscribe",
+        report_fields=reporting.texts("fields") if "fields" in reporting else (),
+        reports=reporting.one_of("how", REPORTS) if "how" in reporting else Reports.INLINE,
+        worth_by_work="counted_by" in facts and facts.text("counted_by") == "work",
+        warm_keys="warm_keys" in family and family.flag("warm_keys"),
+        limits=read_limits(facts.inner("bounds")),
+        safety=read_safety(facts.inner("safety")),
+        prices=read_prices(facts.optional("prices")),
+        objective=read_objective(facts.optional("objective_mix")),
+        tenants=tuple(Tenant(each.text("name"), each.number("quota_per_s", 0.0)) for each in tenants),
+        **present(facts, facts.text, zone="zone"),
+        **present(facts, facts.count, ordinal="ordinal"),
+        **present(facts, not_negative(facts), step_ms="step_ms"),
+        **present(facts, facts.share, over_quota_worth="over_share_worth"),
     )
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import os
 import signal
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from cedarcross.proxy.config import Config, ConfigError, load, read_address
-from tests.sockets import Client, Got, Host, Json, Registry, entry, facts, http, run, until
+from cedarcross.proxy.config import Config, ConfigError, load, read, read_address
+from tests.sockets import Client, Got, Host, Json, Registry, entry, facts, http, proxy, run, until
 
 
 def written(path: Path, **changes: Any) -> dict[str, str]:
@@ -71,6 +73,70 @@
     assert "\n" not in str(caught.value)
 
 
+def places(value: Any, at: tuple[str | int, ...] = ()) -> Iterator[tuple[str | int, ...]]:
+    """Of all values inside."""
+    inner = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for key, each in inner:
+        yield (*at, key)
+        yield from places(each, (*at, key))
+
+
+@pytest.mark.parametrize("bad", ["x", [], {}, -1, 0, 1e400, float("nan"), 1e18, True], ids=repr)
+def test_whatever_stands_somewhere_is_borne_or_told_with_its_key(bad: Any) -> None:
+    # "'<' not supported between instances of 'str' and 'int'" told nobody which of eighty figures was wrong.
+    config: Json = {
+        "name": "n3",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "seed": "8c",
+        "limits": {"sockets": 1024},
+        "settings": {
+            **facts(),
+            "projects": [{"name": "a", "quota_per_s": 3.0}],
+            "prices": {"cross_zone": 0.1},
+            "objective_mix": {"whole": 0.5, "full_at_nines": 3.0},
+            "zone": "a",
+            "ordinal": 1,
+            "step_ms": 5.0,
+            "over_share_worth": 0.5,
+        },
+        "peer_listen": "127.0.0.1:3",
+        "peers": ["127.0.0.1:3"],
+    }
+    refused = 0
+    for place in places(config):
+        changed = copy.deepcopy(config)
+        holder: Any = changed
+        for key in place[:-1]:
+            holder = holder[key]
+        holder[place[-1]] = bad
+        try:
+            read(changed, {}, "FILE")
+        except ConfigError as error:
+            refused += 1
+            key = next(key for key in reversed(place) if isinstance(key, str))
+            assert str(error).startswith("FILE: ") and key in str(error) and "\n" not in str(error)
+    assert refused
+
+
+def test_another_customer_s_figures_are_borne() -> None:
+    # Very large, zero, and keys that we have never heard of: it starts, and serves.
+    async def test() -> None:
+        host = Host("h")
+        settings = facts(max_attempts=10**9, conn_idle_ms=0.0, unheard_of={"a": [1]}, max_open=0)
+        settings |= {"news": None, "discovery": "by pigeon", "balancers": 10**6, "reporting": {"how": "off"}}
+        settings["safety"] |= {"drain_grace_ms": 0, "must_ask_in_ms": 1e15, "fall_ms": 1e12, "cold_ms": 0}
+        for cls in settings["categories"]:
+            cls |= {"deadline_ms": 1e15, "aim_ms": 1e14, "window_ms": 0, "worth": 0, "tint": "blue"}
+        async with proxy(host, settings=settings) as p:
+            client = await Client.connect(p.port)
+            for cls in ("extract-issue", "entry-register"):
+                assert (await client.ask(cls, expires_ms=999_999_999))[0] == 200
+            client.close()
+
+    run(test())
+
+
 async def start(env: dict[str, str]) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cedarcross.proxy", env=os.environ | env, stderr=asyncio.subprocess.PIPE
