Answer what is not finished at the end of the process, as it stands

Need: what the process still held when its time after SIGTERM was over ended with it, unanswered, and so did a request that was only half there (front.py, end: a warning, and nothing more). Now what is held is given up and answered at once (failed if it may have run, else refused), and half a request gets its 408. The new test fails on the code before.

A second new test sends SIGHUP and SIGTERM twice each beside half a request and one at a host: it passes on the code before as well, and holds the order from now on.

--- a/cedarcross/proxy/daemon.py
+++ b/cedarcross/proxy/daemon.py
@@ -182,6 +182,10 @@
             self.retired.remove(core)
             self.upstream.unlisted(self.core.listed, self._beside())
 
+    def _give_up(self) -> None:
+        for core in (*self.retired, self.core):
+            core.give_up()
+
     def move(self, discovery: Address) -> None:
         self.discovery.move(discovery)
 
@@ -191,7 +195,7 @@
         longest_ms = max((cls.deadline_ms for cls in classes), default=DEFAULT_DEADLINE_MS)
         if self.gossip is not None:
             self.gossip.leave()
-        await self.front.end(coming_s, longest_ms / 1000.0 + SPARE_S)
+        await self.front.end(coming_s, longest_ms / 1000.0 + SPARE_S, self._give_up)
         self.discovery.stop()
         if self.gossip is not None:
             self.gossip.close()
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -622,8 +622,11 @@
         if self.connections or self._ids:
             self._sweep_later()
 
-    async def end(self, coming_s: float, longest_s: float) -> None:
-        """Serve on while connections still come, then finish what is taken, and no more."""
+    async def end(
+        self, coming_s: float, longest_s: float, give_up: Callable[[], None] | None = None
+    ) -> None:
+        """Serve on while connections still come, then finish what is taken, and no more. After `longest_s`
+        more what is not finished is answered as it stands, by `give_up` where other cores hold some of it."""
         await asyncio.sleep(coming_s)
         self.ending = True
         # What has come by now is in the system's hands, perhaps not yet in ours: a connection not yet
@@ -635,7 +638,11 @@
         for connection in list(self.connections):
             connection.close_idle()
         if not await self._until_none(self._in_use, longest_s):
+            # Danger: with the process everything unanswered is lost.
             log.warning("%d connections still open at the end", self._in_use())
+            (give_up or self.core.give_up)()
+            for connection in list(self.connections):
+                connection.lose_patience()
         await self._until_none(lambda: len(self.connections), LAST_TAKEN_S)
 
     async def _until_none(self, count: Callable[[], int], longest_s: float) -> bool:
--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -208,6 +208,30 @@
     run(test())
 
 
+def test_what_is_not_finished_at_the_end_is_answered_as_it_stands() -> None:
+    # The process ended over a request that came late, and over half a one: both clients heard nothing.
+    async def silent(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        pass
+
+    async def test() -> None:
+        host = Host("h", silent)
+        async with proxy(host, settings=patient()) as p:
+            taken, half = await Client.connect(p.port), await Client.connect(p.port)
+            taken.send(expires_ms=600_000)
+            half.writer.write(half.worded()[:40])
+            await until(lambda: len(host.got) == 1 and any(c._begun for c in p.front.connections))
+            ending = asyncio.create_task(p.front.end(0.0, 0.0))
+            assert (await taken.answer())[0] == 502  # it may have run
+            assert (await half.answer())[0] == 408
+            for client in (taken, half):
+                assert await client.reader.read() == b""
+                client.close()
+            await ending
+            assert not p.core.held
+
+    run(test())
+
+
 def test_who_takes_no_answers_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     # With requests ahead of their turn it counted as busy, for good, and kept its descriptor.
     monkeypatch.setattr(module, "PATIENCE_MS", 50.0)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -212,6 +212,53 @@
     run(test())
 
 
+def test_signals_in_any_order_lose_nothing(tmp_path: Path) -> None:
+    # Half a request is in the parser, another is at a host, discovery is moved, and SIGTERM comes twice.
+    release = asyncio.Event()
+
+    async def held(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(http(200, b"done"))
+
+    async def test() -> None:
+        hosts = [await Host(name, held).start() for name in "hg"]
+        registry, other = await Registry().start(), await Registry().start()
+        port = free_port()
+        stated = {
+            "listen": f"127.0.0.1:{port}",
+            "known": {"index": 1, "snapshot": True, "endpoints": [entry(host) for host in hosts]},
+        }
+        process = await start(written(tmp_path, discovery=f"127.0.0.1:{registry.port}", **stated))
+        resting, taken, half = await connected(port), await connected(port), await connected(port)
+        resting.writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
+        assert (await resting.answer())[0] == 200
+        taken.send()
+        await until(lambda: sum(len(host.got) for host in hosts) == 1)
+        await until(lambda: len(registry.calls) == 1)
+        whole = half.worded()
+        half.writer.write(whole[:40])
+        written(tmp_path, discovery=f"127.0.0.1:{other.port}", **stated)
+        for each in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            process.send_signal(each)
+        assert await resting.reader.read() == b""  # it has stopped taking connections
+        half.writer.write(whole[40:])
+        await until(lambda: sum(len(host.got) for host in hosts) == 2)
+        release.set()
+        for client in (taken, half):
+            status, headers, body = await client.answer()
+            assert (status, headers["connection"], body) == (200, "close", b"done")
+            assert await client.reader.read() == b""
+        _, log = await process.communicate()
+        assert process.returncode == 0 and b"Traceback" not in log, log
+        assert (len(registry.calls), len(other.calls)) == (1, 1)
+        for host in hosts:
+            host.stop()
+        registry.stop()
+        other.stop()
+
+    run(test())
+
+
 def test_taken_port_is_said_on_one_line(tmp_path: Path) -> None:
     async def test() -> None:
         host = await Host("h").start()
