Tell the decisions that a client has left before all else of the turn

Cause: a client that leaves in the turn of the loop in which its request arrives, or its retry falls due. The balancer was told in the order of arrival (core.py, left, _overdue), decided a send that nobody held any more, and was never told how it ended: one more under way at that server for good, and its request never forgotten. Ruled out: a second send of one request (one line for its id), the new look before the write (it closes only the request that it is asked for).

Change: that a request is over is told first in its turn, and a request that the balancer has not heard of yet is withdrawn. Both cases of the new test fail on the code before.

--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -191,7 +191,7 @@
     def give_up(self) -> None:
         """What is still held is answered at once."""
         for held in list(self._held.values()):
-            self.post(RequestGone(held.id))
+            self._tell_gone(held.id)
             self._end_without_balancer(held, 502)
 
     # What happens
@@ -257,14 +257,25 @@
         """The client has gone: nothing more is owed."""
         held = self._held.get(request_id)
         if held is not None:
-            self.post(RequestGone(request_id))
+            self._tell_gone(request_id)
             self._close(held, left=True)
 
+    def _tell_gone(self, request_id: int) -> None:
+        """Before all else that this turn of the loop brings. Danger: a retry that falls due in the turn in
+        which its client leaves would be decided first, and its send, which nobody holds any more, would count
+        as under way at its server for good."""
+        for event in self._events:
+            if isinstance(event, RequestArrived) and event.request_id == request_id:
+                self._events.remove(event)  # it never gets to know of it
+                return
+        self.post(RequestGone(request_id))
+        self._events.insert(0, self._events.pop())
+
     def _overdue(self, request_id: int) -> None:
         """Whatever the balancer does, the answer goes out before the client's time is over."""
         held = self._held.get(request_id)
         if held is not None:
-            self.post(RequestGone(request_id))
+            self._tell_gone(request_id)
             self._end_without_balancer(held, 504)
 
     def _end_without_balancer(self, held: Held, status: int) -> None:
--- a/tests/test_before_the_write.py
+++ b/tests/test_before_the_write.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from cedarcross.interface import Outcome
+from cedarcross.interface import Event, Outcome, RequestArrived, TimerFired
 from cedarcross.proxy.clock import driven
 from cedarcross.proxy.upstream import Ended, HostConnection, open_socket
 from tests.sockets import KEYED_CLASS, UNSAFE_CLASS, Client, Got, Host, Proxy, facts, http, proxy, run, until
@@ -131,6 +131,48 @@
     run(test())
 
 
+@pytest.mark.parametrize("when", ["as it arrives", "as its retry falls due"])
+def test_who_leaves_in_the_turn_of_a_decision_leaves_nothing_behind(
+    when: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The retry was decided, found nobody who held its request, and counted as under way for good.
+    async def broken(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        writer.write(http(500))
+
+    async def test() -> None:
+        host = Host("h", broken)
+        async with proxy(host, settings=patient()) as p:
+            post = p.core.post
+            left: list[Event] = []
+
+            def posted(event: Event) -> None:
+                post(event)
+                if isinstance(event, RequestArrived if when == "as it arrives" else TimerFired) and not left:
+                    left.append(event)
+                    asyncio.get_running_loop().call_soon(p.core.left, 1)
+
+            monkeypatch.setattr(p.core, "post", posted)
+            # What is told in one turn is decided in the next: the flush waits behind the client's leaving.
+            flush = p.core._flush
+
+            def flushed() -> None:
+                if left and p.core.held:
+                    asyncio.get_running_loop().call_soon(flushed)
+                else:
+                    flush()
+
+            monkeypatch.setattr(p.core, "_flush", flushed)
+            client = await Client.connect(p.port)
+            client.send(KEYED_CLASS, expires_ms=600_000)
+            await until(lambda: bool(left) and not p.core.held)
+            await until(lambda: not p.core._events and not p.core.balancer.requests)
+            assert [e.in_flight for e in p.core.balancer.membership.endpoints.values()] == [0]
+            assert len(host.got) == (when != "as it arrives")
+            client.close()
+
+    run(test())
+
+
 def test_an_attempt_that_stands_no_more_is_not_written() -> None:
     async def test() -> None:
         host = await Host("h").start()
