--- a/benchmarks/cold_sums.py
+++ b/benchmarks/cold_sums.py
@@ -3,14 +3,15 @@
     python -m benchmarks.cold_sums [--proxies 3 20 30 200] [--seeds 6] [--length 16] [--jobs 4]
 
 The day `join-many` on the virtual clock: six servers in ten are replaced within 7 s, instances have uneven
-traffic. Servers begin colder, and the rule allows less, than at any site so far; the load is the same
-for each number of proxies. Played as it is, and with a third of the proxies restarted one after the other while those
-servers are cold, with the platform's own operators' file. For each server and each span of `fall_ms` after its
-start: the work that arrived, in requests of mean work, beside N, what the settings allow then (`fall_multiple` x
-the share of its capacity that it surely has x the span), and the excess as a part of what is put down to chance,
-2 x root of N + 2. Above 1 a server may fall. Prints, by number of proxies and restarts, the highest excess of
-each server's life as a distribution (median, 95 in 100, largest), how many lives went above 0 and above 1, falls
-(the emulator's servers allow nothing for chance), and the worth served, as JSON.
+traffic. Servers begin colder, and the rule allows less, than at any site so far; the load is the same for
+each number of proxies. Played as it is, and with a third of the proxies restarted one after the other while
+those servers are cold, with the platform's own operators' file. For each server and each span of `fall_ms`
+after its start: the work that arrived, in requests of mean work, beside N, what the settings allow then
+(`fall_multiple` x the share of its capacity that it surely has x the span), and the excess as a part of
+what is put down to chance, 2 x root of N + 2. Above 1 a server may fall. Prints, by number of proxies and
+restarts, the highest excess of each server's life as a distribution (median, 95 in 100, largest), how many
+lives went above 0 and above 1, falls (the emulator's servers allow nothing for chance), and the worth
+served, as JSON.
 """
 
 from __future__ import annotations
