--- a/benchmarks/cold_sums.py
+++ b/benchmarks/cold_sums.py
@@ -79,9 +79,7 @@
     if restarts:
         chosen = tuple(range(0, proxies, 3))
         incidents += (
-            Incident(
-                at_s=4.0, what="proxy_restart", proxies=chosen, stagger_s=6.0 / len(chosen), down_s=0.5
-            ),
+            Incident(at_s=4.0, what="proxy_restart", proxies=chosen, stagger_s=6.0 / len(chosen), down_s=0.5),
         )
     clients = replace(day.clients, proxies=proxies, rates=rates)
     rules = replace(day.rules, fall_multiple=FALL_MULTIPLE, cold_share=COLD_SHARE)
--- a/cedarcross/agreement/words.py
+++ b/cedarcross/agreement/words.py
@@ -157,7 +157,18 @@
 
 
 Word = (
-    Decided | Prepare | Promise | Accept | Accepted | Outvoted | Ask | Grant | Busy | Behind | Check | Checked
+    Decided
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Outvoted
+    | Ask
+    | Grant
+    | Busy
+    | Behind
+    | Check
+    | Checked
     | Tally
 )
 
--- a/cedarcross/idle.py
+++ b/cedarcross/idle.py
@@ -41,9 +41,7 @@
             self._safe_ms = float("inf")
         return idle_ms > self._safe_ms
 
-    def died(
-        self, attempt: Attempt, latency_ms: float, quick_ms: float, alone: bool, now_ms: float
-    ) -> bool:
+    def died(self, attempt: Attempt, latency_ms: float, quick_ms: float, alone: bool, now_ms: float) -> bool:
         """Did the attempt die of its idle connection, as far as can be told?"""
         outcome = attempt.outcome
         if outcome is Outcome.CONNECT_FAILED:
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -622,9 +622,7 @@
         if self.connections or self._ids:
             self._sweep_later()
 
-    async def end(
-        self, coming_s: float, longest_s: float, give_up: Callable[[], None] | None = None
-    ) -> None:
+    async def end(self, coming_s: float, longest_s: float, give_up: Callable[[], None] | None = None) -> None:
         """Serve on while connections still come, then finish what is taken, and no more. After `longest_s`
         more what is not finished is answered as it stands, by `give_up` where other cores hold some of it."""
         await asyncio.sleep(coming_s)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -188,9 +188,7 @@
         port = free_port()
         known = {"index": 1, "snapshot": True, "endpoints": [entry(host)]}
         process = await start(
-            written(
-                tmp_path, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}", known=known
-            )
+            written(tmp_path, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}", known=known)
         )
         probe = await connected(port)
         probe.writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
