Let a dial at the bound of connections have the place that it has made

Cause: at the bound, Upstream._dial closed the connection that had been idle longest and looked at the count in the same turn of the loop.

Change: slots for connections, in a module of their own. A dial at the bound closes one idle connection (none, if one is about to close that nobody waits for) and takes the next slot that is given back, within the connect timeout. With none idle it fails as before. benchmarks/scale/data_path.py tells for how long the daemon was kept from a core, and calls a trial refused whose own timers were late.

--- a/benchmarks/scale/data_path.py
+++ b/benchmarks/scale/data_path.py
@@ -37,7 +37,7 @@
 import httptools
 import uvloop
 
-from cedarcross.rig.process import LISTEN, resident_kb, sockets
+from cedarcross.rig.process import LISTEN, resident_kb, sockets, waited_s
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
@@ -49,6 +49,7 @@
 START_WITHIN_S = 20.0
 LOST = 0  # in place of a status: no answer came
 ESTABLISHED = "01"  # state of /proc/net/tcp
+MOST_LATE_MS = 25.0  # of the load's own calls, 99 in 100: past it the machine is too busy for the trial
 PROCESS_CLOCK = 2  # CPUCLOCK_SCHED of the kernel's posix-timers.h
 
 
@@ -79,6 +80,7 @@
     resident_kb: int
     dials: int  # connections that the daemon made to servers
     connections_open: int  # of these, at the end
+    waited_ms_per_call: float  # the daemon was ready to run and had no core
     late_ms: Quantiles  # how late the load itself was: a machine too busy for the trial shows here
 
     @property
@@ -86,6 +88,11 @@
         """Share of the calls that were not answered with 200."""
         return 1 - self.answers.get("200", 0) / max(1, self.calls)
 
+    @property
+    def refused(self) -> bool:
+        """The machine was too busy for its own timers: the trial shows nothing."""
+        return self.late_ms.p99 > MOST_LATE_MS
+
 
 def quantiles(values: Sequence[float]) -> Quantiles:
     """Of values in milliseconds; zeros if there are none."""
@@ -424,9 +431,9 @@
 ) -> DataPathSample:
     through, direct = Way([daemon.port]), Way(servers.ports[:ADDRESSES])
     await offer_both(through, direct, calls_per_s, warm_up_s, False)
-    before_s = cpu_s(daemon.pid)
+    before_s, before_waited_s = cpu_s(daemon.pid), waited_s(daemon.pid)
     await offer_both(through, direct, calls_per_s, length_s, True)
-    spent_s = cpu_s(daemon.pid) - before_s
+    spent_s, waiting_s = cpu_s(daemon.pid) - before_s, waited_s(daemon.pid) - before_waited_s
     resident, still_open = resident_kb(daemon.pid), daemon.connections_to(servers.ports)
     dials = servers.accepted() - direct.opened
     through.close()
@@ -452,12 +459,16 @@
         resident_kb=resident,
         dials=dials,
         connections_open=still_open,
+        waited_ms_per_call=round(1000.0 * waiting_s / max(1, calls), 4),
         late_ms=quantiles(through.late_ms),
     )
 
 
 def summary(samples: Sequence[DataPathSample]) -> dict[str, Any]:
-    """Least, median and most of each figure over the rounds of one size."""
+    """Least, median and most of each figure over the rounds of one size that the machine had time for."""
+    refused, samples = sum(each.refused for each in samples), [each for each in samples if not each.refused]
+    if not samples:
+        return {"refused": refused}
     figures: dict[str, list[float]] = {
         "lost_share": [each.lost_share for each in samples],
         "daemon_p50_ms": [each.daemon_ms.p50 for each in samples],
@@ -470,11 +481,13 @@
         "resident_kb": [each.resident_kb for each in samples],
         "dials": [each.dials for each in samples],
         "connections_open": [each.connections_open for each in samples],
+        "waited_ms_per_call": [each.waited_ms_per_call for each in samples],
         "late_p99_ms": [each.late_ms.p99 for each in samples],
     }
     told: dict[str, Any] = {
         name: [round(min(of), 4), round(median(of), 4), round(max(of), 4)] for name, of in figures.items()
     }
+    told["refused"] = refused
     told["answers"] = dict(sum((Counter(each.answers) for each in samples), Counter[str]()))
     return told
 
@@ -514,7 +527,14 @@
                 checkout=checkout.resolve(),
             )
             found[checkout, names, instances].append(sample)
-            row = json.dumps({"round": number, "checkout": checkout.name, **asdict(sample)})
+            row = json.dumps(
+                {
+                    "round": number,
+                    "checkout": checkout.name,
+                    "refused": sample.refused,
+                    **asdict(sample),
+                }
+            )
             print(row, file=sys.stderr, flush=True)
             if args.samples:
                 with args.samples.open("a") as file:
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -16,6 +16,7 @@
 from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.config import Address
 from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer
+from cedarcross.proxy.slots import Slots
 from cedarcross.routing.places import Places
 
 log = logging.getLogger(__name__)
@@ -142,14 +143,16 @@
         self.lost = False
         self._served = False  # it has brought an answer
         self._counted = True  # among the pool's open descriptors
+        self._closing = False  # the pool has been told that its descriptor is about to be free
         self._begin()
 
-    def release(self) -> bool:
-        """Its descriptor is given back: true the first time. Danger: a dial called off while its transport
-        is made ends twice, by the dial's own end and by the transport's, and the pool would count one
-        descriptor fewer than are open, for good."""
-        counted, self._counted = self._counted, False
-        return counted
+    def release(self) -> None:
+        """Give its descriptor back, the first time. Danger: a dial called off while its transport is made
+        ends twice, by the dial's own end and by the transport's, and the pool would count one descriptor
+        fewer than are open, for good."""
+        if self._counted:
+            self._counted = False
+            self._pool.slots.give_back(self._closing)
 
     def _begin(self) -> None:
         self._headers: Headers = []
@@ -195,6 +198,9 @@
     def abort(self) -> None:
         self.lost = True
         if self._transport is not None:
+            if self._counted and not self._closing:
+                self._closing = True
+                self._pool.slots.closing()
             self._transport.abort()
 
     # The transport's side
@@ -312,8 +318,8 @@
         self._fields = [name.encode() for name in report_fields]
         self._drain_grace_ms = drain_grace_ms
         self._whole_most = most
+        self.slots = Slots(most)  # descriptors, dials under way included
         self.restate(limits, places)
-        self.open = 0
         self.entries: dict[str, HostEntry] = {}
         self._sweep: asyncio.TimerHandle | None = None
 
@@ -325,8 +331,12 @@
         idle_ms = limits.conn_idle_ms
         self._idle_ms = IDLE_PART * idle_ms if idle_ms is not None else float("inf")
         most = places.most if places is not None else None
-        # Descriptors, dials under way included.
-        self._most = self._whole_most if most is None else min(self._whole_most, most)
+        self.slots.most = self._whole_most if most is None else min(self._whole_most, most)
+
+    @property
+    def open(self) -> int:
+        """Descriptors of connections to hosts, dials under way included."""
+        return self.slots.taken
 
     # The list of hosts
 
@@ -417,16 +427,20 @@
         """Connect, and hand the request over if its attempt still stands."""
         entry = attempt.entry
         loop = asyncio.get_running_loop()
-        if self.open >= self._most:
-            self._close_longest_idle()
-        if self.open >= self._most:
+        if self.slots.full and not self.slots.expected and not self._close_longest_idle():
             attempt.end(Outcome.CONNECT_FAILED)
             return
         if self._places is not None and not self._places.may_open(now_ms()):
             self._log_places(self._places)
             attempt.end(Outcome.NOT_SENT)  # our own doing: it says nothing of the host
             return
-        self.open += 1
+        if not self.slots.try_take():
+            try:
+                async with asyncio.timeout(self._connect_timeout_s):
+                    await self.slots.take_next()
+            except TimeoutError:
+                attempt.end(Outcome.CONNECT_FAILED)
+                return
         connection: HostConnection | None = None
         made: HostConnection | None = None
         sock: socket.socket | None = None
@@ -443,8 +457,10 @@
             attempt.end(Outcome.CONNECT_FAILED)
         finally:
             if connection is None:  # failed, or called off: the descriptor must not stay behind
-                if made is None or made.release():
-                    self.open -= 1
+                if made is None:
+                    self.slots.give_back()
+                else:
+                    made.release()
                 if sock is not None:
                     sock.close()
         if connection is None:
@@ -502,8 +518,7 @@
 
     def forget(self, connection: HostConnection) -> None:
         """Its descriptor is free again."""
-        if connection.release():
-            self.open -= 1
+        connection.release()
         if connection in connection.entry.idle:
             connection.entry.idle.remove(connection)
 
@@ -521,12 +536,15 @@
         if left:
             self._sweep = asyncio.get_running_loop().call_later(sweep_s(rest_ms), self._retire)
 
-    def _close_longest_idle(self) -> None:
+    def _close_longest_idle(self) -> bool:
+        """Make room for one more. False: none is idle."""
         idle = [c for entry in self.entries.values() for c in entry.idle]
-        if idle:
-            longest = min(idle, key=lambda c: c.idle_since_ms)
-            longest.entry.idle.remove(longest)
-            longest.abort()
+        if not idle:
+            return False
+        longest = min(idle, key=lambda c: c.idle_since_ms)
+        longest.entry.idle.remove(longest)
+        longest.abort()
+        return True
 
     # Headers
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import os
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
+import uvloop
 
 from cedarcross.interface import Outcome
 from cedarcross.proxy.clock import now_ms
@@ -377,6 +379,49 @@
     run(test())
 
 
+@pytest.mark.parametrize("make_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_at_the_bound_the_longest_idle_connection_makes_room(
+    make_loop: Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    # Each dial at the bound used to close an idle connection and fail all the same: the descriptor is free a
+    # turn of the loop later.
+    async def test() -> None:
+        hosts = [await Host(f"h{n}").start() for n in range(5)]
+        up = upstream(most=2)
+        for host in hosts:
+            up.listed(host.name, ("127.0.0.1", host.port), None, True)
+        for host in hosts + hosts:
+            assert (await one(up, host.name)).outcome is Outcome.OK
+            assert up.open <= 2
+        assert [host.connections for host in hosts] == [2] * 5
+        await until(lambda: [host.open for host in hosts] == [0, 0, 0, 1, 1])
+        for host in hosts:
+            host.stop()
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        runner.run(asyncio.wait_for(test(), 20.0))
+
+
+def test_dials_that_come_together_at_the_bound_close_one_idle_connection_each() -> None:
+    async def test() -> None:
+        hosts = [await Host(f"h{n}").start() for n in range(6)]
+        up = upstream(most=3)
+        for host in hosts:
+            up.listed(host.name, ("127.0.0.1", host.port), None, True)
+        for host in hosts[:3]:
+            assert (await one(up, host.name)).outcome is Outcome.OK
+        ended: list[Ended] = []
+        for host in hosts[3:]:
+            up.start(request(), host.name, 5000.0, ended.append)
+        await until(lambda: len(ended) == 3)
+        assert [each.outcome for each in ended] == [Outcome.OK] * 3
+        assert up.open == 3
+        for host in hosts:
+            host.stop()
+
+    run(test())
+
+
 def test_keyed_request_is_repeated_by_the_balancer_alone() -> None:
     # One attempt for each send of the balancer's: nothing below it sends again by itself.
     first: list[str] = []
