Draw servers with an idle connection first where connections are short

Change: cedarcross/routing/connected.py infers from what was sent which servers have a connection, as the transport keeps the latest used ones. Once there are as many as it keeps, servers with an idle connection are drawn first; one call in 200 goes anywhere. The bound comes with the limits, from the daemon's descriptors and the operators' most.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -51,6 +51,7 @@
     TimerFired,
 )
 from cedarcross.measures import WorkRate, longer_ms, warmth
+from cedarcross.routing.connected import ConnectedServers
 
 # The paper's own figures.
 BUDGET_CAPACITY = 100.0
@@ -768,6 +769,7 @@
         self.demand = Demand(settings)
         self.looks = Looks(settings)
         self.idle = IdleConnections(settings.limits.conn_idle_ms)
+        self.connected = ConnectedServers(settings.limits.connections)
         self.timers: dict[int, Callable[[], None]] = {}
         self.last_token = 0
         self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
@@ -817,6 +819,7 @@
 
     def _on_list(self, event: EndpointsListed) -> None:
         self.membership.update(event)
+        self.connected.listed(self.membership.endpoints.values())
         for endpoint in self.membership.endpoints.values():
             if endpoint.drift_ms is None and len(self.membership.endpoints) > WALKED:
                 endpoint.drift_ms = self.now_ms  # drawn from: what is not drawn yet fades all the same
@@ -1001,6 +1004,13 @@
         """Two of a large pool, as likely as by the walk, which decides if so many draws do not find them.
         Danger: a walk over a thousand servers at each pick costs the proxy its core."""
         found = [a.endpoint for a in request.attempts]
+        if self.connected.prefers(self.random):
+            return self.connected.draw(
+                lambda: pool.ring[self.random.randrange(pool.size)],
+                found,
+                lambda endpoint: self.idle.idle_for(endpoint, self.now_ms) is not None,
+                lambda endpoint: bool(self._allowed(request, [endpoint])),
+            )
         tried = len(found)
         for _ in range(DRAWS):
             endpoint = pool.ring[self.random.randrange(pool.size)]
@@ -1151,6 +1161,7 @@
         if not endpoint.in_flight:
             endpoint.waiting_since_ms = self.now_ms
         endpoint.in_flight += 1
+        self.connected.used(endpoint)
         if endpoint.held is not None:
             endpoint.held += 1
         left_ms = self._useless_ms(request) - self.now_ms
@@ -1178,6 +1189,7 @@
         attempt.endpoint.in_flight -= 1
         if event.outcome is not Outcome.NOT_SENT:
             attempt.endpoint.used_ms = None if event.outcome in NO_CONNECTION else self.now_ms
+            self.connected.ended(attempt.endpoint)
         request.out -= 1
         if self.advisor is not None:
             cls, took_ms, where = request.cls, event.latency_ms, attempt.endpoint.listed
--- a/cedarcross/interface.py
+++ b/cedarcross/interface.py
@@ -97,6 +97,7 @@
     max_open: int | None = None  # requests that the proxy holds at most
     cpu_us_per_s: float | None = None  # what the decisions may take in a second; None: not told
     cpu_us_per_request: float | None = None  # and for a request, in the mean
+    connections: int | None = None  # to servers, that the proxy may hold open; None: not told
 
 
 @dataclass(frozen=True, slots=True)
--- a/cedarcross/proxy/daemon.py
+++ b/cedarcross/proxy/daemon.py
@@ -68,8 +68,14 @@
     def stop(self) -> None: ...
 
 
-def bounded(settings: Settings, operators: Operators, seed: int) -> tuple[Settings, Places | None]:
-    """The settings with what operators state of connections, and what keeps to it."""
+def bounded(
+    settings: Settings, operators: Operators, seed: int, connections: int
+) -> tuple[Settings, Places | None]:
+    """The settings with what operators state of connections, and what keeps to it. `connections`: to
+    servers, that there are descriptors for."""
+    if operators.connections is not None and operators.connections.most is not None:
+        connections = min(connections, operators.connections.most)
+    settings = replace(settings, limits=replace(settings.limits, connections=connections))
     if operators.connections is None:
         return settings, None
     places = Places(operators.connections, settings.limits.conn_idle_ms, seed)
@@ -96,9 +102,10 @@
     ) -> None:
         """`listing`: makes what tells of servers, in the place of a discovery service. `lasting`: advisors
         that outlive a balancer. Raises ValueError where neither a service nor a listing is given."""
-        settings, places = bounded(config.settings, operators, config.seed)
-        self._seed, self._operators, self._places = config.seed, operators, places
         most = most or shares(config.sockets)
+        self._connections = most.to_hosts
+        settings, places = bounded(config.settings, operators, config.seed, most.to_hosts)
+        self._seed, self._operators, self._places = config.seed, operators, places
         self._listen_at = config.listen
         self.settings = settings
         self.directory = Directory()
@@ -145,7 +152,7 @@
     ) -> None:
         """From now on this policy decides, with the list in `message`: of what comes. Requests under way end
         by the one that they began with. All is made aside first; then one reference moves."""
-        stated, places = bounded(settings, operators, self._seed)
+        stated, places = bounded(settings, operators, self._seed, self._connections)
         if operators.connections == self._operators.connections and places is not None:
             places = self._places  # what it knows of places at servers goes on
         directory = Directory(self.directory)
