--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -1006,10 +1006,10 @@
         found = [a.endpoint for a in request.attempts]
         if self.connected.prefers(self.random):
             return self.connected.draw(
+                self.random,
                 lambda: pool.ring[self.random.randrange(pool.size)],
-                found,
-                lambda endpoint: self.idle.idle_for(endpoint, self.now_ms) is not None,
-                lambda endpoint: bool(self._allowed(request, [endpoint])),
+                lambda e: self.membership.pool(e) is pool and self.idle.idle_for(e, self.now_ms) is not None,
+                lambda e: e not in found and bool(self._allowed(request, [e])),
             )
         tried = len(found)
         for _ in range(DRAWS):
--- a/cedarcross/proxy/slots.py
+++ b/cedarcross/proxy/slots.py
@@ -50,7 +50,9 @@
         return True
 
     async def take_next(self) -> None:
-        """Wait for the next slot given back. Raises CancelledError, with none taken, if called off."""
+        """Take a slot as soon as one is free. Raises CancelledError, with none taken, if called off."""
+        if self.try_take():
+            return
         place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(place)
         try:
--- a/cedarcross/routing/connected.py
+++ b/cedarcross/routing/connected.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -25,7 +25,7 @@
 KEPT_PART = 0.75
 # Share of the calls that go anywhere: under one in a hundred, so that 99 in 100 pay for no dial.
 ANYWHERE = 1 / 200
-DRAWS = 16
+DRAWS = 16  # at most, for two servers
 
 
 class ConnectedServers:
@@ -34,39 +34,51 @@
     def __init__(self, connections: int | None) -> None:
         """`connections`: to servers, that may be open at once; None: not told, and never short."""
         self._most = None if connections is None else max(2, int(KEPT_PART * connections))
-        self._used: dict[Endpoint, None] = {}  # the latest used last
+        self._servers: list[Endpoint] = []  # in no order, to draw from
+        self._index: dict[Endpoint, int] = {}  # of each in that list; the latest used last
 
     def __len__(self) -> int:
-        return len(self._used)
+        return len(self._servers)
 
     def __contains__(self, endpoint: Endpoint) -> bool:
-        return endpoint in self._used
+        return endpoint in self._index
 
     @property
     def short(self) -> bool:
         """Are there as many servers in use as connections are kept to?"""
-        return self._most is not None and len(self._used) >= self._most
+        return self._most is not None and len(self._servers) >= self._most
 
     def used(self, endpoint: Endpoint) -> None:
         """Something was sent to it, or it has answered."""
         if self._most is None or endpoint.listed.state is not EndpointState.READY:
             return
-        self._used.pop(endpoint, None)
-        self._used[endpoint] = None
-        if len(self._used) > self._most:
-            del self._used[next(iter(self._used))]
+        index = self._index.pop(endpoint, None)
+        if index is None:
+            index = len(self._servers)
+            self._servers.append(endpoint)
+        self._index[endpoint] = index
+        if len(self._servers) > self._most:
+            self._remove(next(iter(self._index)))
 
     def ended(self, endpoint: Endpoint) -> None:
         """An attempt at it has ended, and its `used_ms` tells whether a connection is left."""
-        if endpoint.used_ms is None:
-            self._used.pop(endpoint, None)
-        else:
+        if endpoint.used_ms is not None:
             self.used(endpoint)
+        elif endpoint in self._index:
+            self._remove(endpoint)
 
     def listed(self, endpoints: Iterable[Endpoint]) -> None:
         """All servers known by now; connections to any that may not get new work are closed."""
         ready = {endpoint for endpoint in endpoints if endpoint.listed.state is EndpointState.READY}
-        self._used = {endpoint: None for endpoint in self._used if endpoint in ready}
+        for endpoint in [endpoint for endpoint in self._servers if endpoint not in ready]:
+            self._remove(endpoint)
+
+    def _remove(self, endpoint: Endpoint) -> None:
+        index = self._index.pop(endpoint)
+        last = self._servers.pop()
+        if last is not endpoint:
+            self._servers[index] = last
+            self._index[last] = index
 
     def prefers(self, random: Random) -> bool:
         """Does the next call go to a server with an idle connection, if it can?"""
@@ -74,22 +86,24 @@
 
     def draw(
         self,
-        draw: Callable[[], Endpoint],
-        tried: Sequence[Endpoint],
+        random: Random,
+        anywhere: Callable[[], Endpoint],
         idle: Callable[[Endpoint], bool],
         allowed: Callable[[Endpoint], bool],
     ) -> list[Endpoint]:
-        """At most two different servers for a call, none of `tried`, all of them `allowed`: with an idle
-        connection if the draws find such."""
-        with_idle: list[Endpoint] = []
-        others: list[Endpoint] = []
+        """At most two different servers for a call, both `allowed`: with an `idle` connection if the draws
+        find such, else by draws from `anywhere`."""
+        found: list[Endpoint] = []
+        for _ in range(DRAWS):
+            endpoint = self._servers[random.randrange(len(self._servers))]
+            if endpoint not in found and idle(endpoint) and allowed(endpoint):
+                found.append(endpoint)
+                if len(found) == 2:
+                    return found
         for _ in range(DRAWS):
-            endpoint = draw()
-            if endpoint in tried or endpoint in with_idle or endpoint in others:
-                continue
-            group = with_idle if endpoint in self._used and idle(endpoint) else others
-            if len(group) < 2 and allowed(endpoint):
-                group.append(endpoint)
-                if len(with_idle) == 2:
+            endpoint = anywhere()
+            if endpoint not in found and allowed(endpoint):
+                found.append(endpoint)
+                if len(found) == 2:
                     break
-        return (with_idle + others)[:2]
+        return found
