--- a/benchmarks/scale/data_path.py
+++ b/benchmarks/scale/data_path.py
@@ -1,7 +1,8 @@
 """What one real daemon adds to a call, over the number of servers in its list.
 
     python -m benchmarks.scale.data_path [--names 10 34 100 200 300 400 680] [--rate 294] [--length 5]
-        [--rounds 3] [--own-ports] [--instances 1] [--operators FILE] [--checkouts DIR ...] [--samples FILE]
+        [--rounds 3] [--own-ports] [--instances 1] [--daemons 1] [--operators FILE] [--checkouts DIR ...]
+        [--samples FILE]
 
 `cedarcross serve` with a watched list runs as a process of its own. Calls come open loop: each has a due
 time, and its latency counts from then, so that a daemon that stands still is charged for every call that was
@@ -47,6 +48,7 @@
 AIM_MS, DEADLINE_MS = 500, 1200
 ANSWER_WITHIN_S = 2.0  # past the deadline of the class: an answer that is missing then was lost
 START_WITHIN_S = 20.0
+LISTED_S = 0.3  # after it listens, until a daemon has surely read its list
 LOST = 0  # in place of a status: no answer came
 ESTABLISHED = "01"  # state of /proc/net/tcp
 MOST_LATE_MS = 25.0  # of the load's own calls, 99 in 100: past it the machine is too busy for the trial
@@ -69,16 +71,17 @@
     names: int
     own_ports: bool
     instances: int
-    calls_per_s: float
+    daemons: int
+    calls_per_s: float  # of each daemon
     length_s: float
-    calls: int
+    calls: int  # of all daemons, as all that follows but for the memory
     answers: dict[str, int]  # by status; "0": no answer came
     daemon_ms: Quantiles
     direct_ms: Quantiles
     added_ms: Quantiles  # the difference of the two, quantile by quantile
-    cpu_ms_per_call: float  # of the daemon, by the process's own clock
-    resident_kb: int
-    dials: int  # connections that the daemon made to servers
+    cpu_ms_per_call: float  # of the daemons, by the processes' own clocks
+    resident_kb: int  # of the daemon that holds the most
+    dials: int  # connections that the daemons made to servers
     connections_open: int  # of these, at the end
     waited_ms_per_call: float  # the daemon was ready to run and had no core
     late_ms: Quantiles  # how late the load itself was: a machine too busy for the trial shows here
@@ -196,11 +199,12 @@
     return "\n".join(entries)
 
 
-def serve_file(instances: int, sockets_most: int, operators: bool) -> str:
+def serve_file(instances: int, ordinal: int, sockets_most: int, operators: bool) -> str:
     lines = [
         'name = "bench"',
         f'listen = "{HOST}:0"',
         f"instances = {instances}",
+        f"ordinal = {ordinal}",
         f"sockets = {sockets_most}",
         *(['operators = "operators.toml"'] if operators else []),
         "[servers]",
@@ -219,8 +223,8 @@
 class Daemon:
     """One `cedarcross serve`, run from a checkout."""
 
-    def __init__(self, folder: Path, checkout: Path, runner: Sequence[str]) -> None:
-        self._log = folder / "daemon.log"
+    def __init__(self, folder: Path, number: int, checkout: Path, runner: Sequence[str]) -> None:
+        self._log = folder / f"daemon-{number}.log"
         with self._log.open("wb") as log:
             self._process = subprocess.Popen(
                 [
@@ -230,7 +234,7 @@
                     "cedarcross.cli",
                     "serve",
                     "--config",
-                    str(folder / "serve.toml"),
+                    str(folder / f"serve-{number}.toml"),
                 ],
                 cwd=checkout,
                 stdout=log,
@@ -387,67 +391,50 @@
     own_ports: bool,
     *,
     instances: int = 1,
+    daemons: int = 1,
     warm_up_s: float = 1.0,
     descriptors: int = 1024,
     operators: str = "",
     checkout: Path = ROOT,
     runner: Sequence[str] = (),
 ) -> DataPathSample:
-    """One trial of one daemon, with processes of its own that have ended when it returns.
+    """One trial of a daemon, or of some at once, with processes of its own that have ended when it returns.
 
-    `names`: servers in the list. `instances`: as stated in the file of the daemon. `warm_up_s`: seconds of
-    the same load that are not counted. `descriptors`: `sockets` of the file. `operators`: text of the
-    operators' file. `checkout`: whose code the daemon runs. `runner`: words for the interpreter before `-m`
-    (a profiler). Raises RuntimeError if a process does not start.
+    `names`: servers in the list. `calls_per_s`: of each daemon. `instances`: as stated in the daemons' files.
+    `warm_up_s`: seconds of the same load that are not counted. `descriptors`: `sockets` of the files.
+    `operators`: text of the operators' file. `checkout`: whose code the daemons run. `runner`: words for the
+    interpreter before `-m` (a profiler). Raises RuntimeError if a process does not start.
     """
     servers = Servers(names if own_ports else ADDRESSES)
+    running: list[Daemon] = []
     try:
         with tempfile.TemporaryDirectory() as made:
             folder = Path(made)
             (folder / "servers.toml").write_text(list_of_servers(names, servers.ports))
-            (folder / "serve.toml").write_text(serve_file(instances, descriptors, bool(operators)))
             (folder / "operators.toml").write_text(operators)
-            daemon = Daemon(folder, checkout, runner)
-            try:
-                time.sleep(0.3)  # it has read the list
-                return uvloop.run(
-                    _trial(servers, daemon, names, calls_per_s, length_s, own_ports, instances, warm_up_s)
-                )
-            finally:
+            for number in range(daemons):
+                stated = serve_file(instances, number % instances, descriptors, bool(operators))
+                (folder / f"serve-{number}.toml").write_text(stated)
+                running.append(Daemon(folder, number, checkout, runner))
+            time.sleep(LISTED_S)
+            load = uvloop.run(_offered(servers, running, calls_per_s, length_s, warm_up_s))
+            for daemon in running:
                 daemon.end()
     finally:
+        for daemon in running:
+            daemon.end()
         servers.end()
-
-
-async def _trial(
-    servers: Servers,
-    daemon: Daemon,
-    names: int,
-    calls_per_s: float,
-    length_s: float,
-    own_ports: bool,
-    instances: int,
-    warm_up_s: float,
-) -> DataPathSample:
-    through, direct = Way([daemon.port]), Way(servers.ports[:ADDRESSES])
-    await offer_both(through, direct, calls_per_s, warm_up_s, False)
-    before_s, before_waited_s = cpu_s(daemon.pid), waited_s(daemon.pid)
-    await offer_both(through, direct, calls_per_s, length_s, True)
-    spent_s, waiting_s = cpu_s(daemon.pid) - before_s, waited_s(daemon.pid) - before_waited_s
-    resident, still_open = resident_kb(daemon.pid), daemon.connections_to(servers.ports)
-    dials = servers.accepted() - direct.opened
-    through.close()
-    direct.close()
-    calls = sum(through.answers.values())
-    with_daemon, without = quantiles(through.latencies_ms), quantiles(direct.latencies_ms)
+    calls = sum(load.through.answers.values())
+    with_daemon, without = quantiles(load.through.latencies_ms), quantiles(load.direct.latencies_ms)
     return DataPathSample(
         names=names,
         own_ports=own_ports,
         instances=instances,
+        daemons=daemons,
         calls_per_s=calls_per_s,
         length_s=length_s,
         calls=calls,
-        answers={str(status): count for status, count in sorted(through.answers.items())},
+        answers={str(status): count for status, count in sorted(load.through.answers.items())},
         daemon_ms=with_daemon,
         direct_ms=without,
         added_ms=Quantiles(
@@ -455,15 +442,52 @@
             p99=round(with_daemon.p99 - without.p99, 3),
             most=round(with_daemon.most - without.most, 3),
         ),
-        cpu_ms_per_call=round(1000.0 * spent_s / max(1, calls), 4),
-        resident_kb=resident,
-        dials=dials,
-        connections_open=still_open,
-        waited_ms_per_call=round(1000.0 * waiting_s / max(1, calls), 4),
-        late_ms=quantiles(through.late_ms),
+        cpu_ms_per_call=round(1000.0 * load.cpu_s / max(1, calls), 4),
+        resident_kb=load.resident_kb,
+        dials=load.dials,
+        connections_open=load.connections_open,
+        waited_ms_per_call=round(1000.0 * load.waited_s / max(1, calls), 4),
+        late_ms=quantiles(load.through.late_ms),
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """What was seen of the load, and of the daemons under it."""
+
+    through: Way
+    direct: Way
+    cpu_s: float
+    waited_s: float
+    resident_kb: int
+    dials: int
+    connections_open: int
+
+
+async def _offered(
+    servers: Servers, daemons: Sequence[Daemon], calls_per_s: float, length_s: float, warm_up_s: float
+) -> Offered:
+    through = Way([daemon.port for daemon in daemons])
+    direct = Way(servers.ports[:ADDRESSES])
+    in_all_per_s = calls_per_s * len(daemons)
+    await offer_both(through, direct, in_all_per_s, warm_up_s, False)
+    cpu_before_s = sum(cpu_s(daemon.pid) for daemon in daemons)
+    waited_before_s = sum(waited_s(daemon.pid) for daemon in daemons)
+    await offer_both(through, direct, in_all_per_s, length_s, True)
+    seen = Offered(
+        through=through,
+        direct=direct,
+        cpu_s=sum(cpu_s(daemon.pid) for daemon in daemons) - cpu_before_s,
+        waited_s=sum(waited_s(daemon.pid) for daemon in daemons) - waited_before_s,
+        resident_kb=max(resident_kb(daemon.pid) for daemon in daemons),
+        dials=servers.accepted() - direct.opened,
+        connections_open=sum(daemon.connections_to(servers.ports) for daemon in daemons),
+    )
+    through.close()
+    direct.close()
+    return seen
+
+
 def summary(samples: Sequence[DataPathSample]) -> dict[str, Any]:
     """Least, median and most of each figure over the rounds of one size that the machine had time for."""
     refused, samples = sum(each.refused for each in samples), [each for each in samples if not each.refused]
@@ -500,6 +524,7 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--own-ports", action="store_true")
     parser.add_argument("--instances", type=int, nargs="*", default=[1])
+    parser.add_argument("--daemons", type=int, default=1)
     parser.add_argument("--warm-up", type=float, default=1.0)
     parser.add_argument("--descriptors", type=int, default=1024)
     parser.add_argument("--operators", type=Path, help="the operators' file of the daemon")
@@ -521,6 +546,7 @@
                 args.length,
                 args.own_ports,
                 instances=instances,
+                daemons=args.daemons,
                 warm_up_s=args.warm_up,
                 descriptors=args.descriptors,
                 operators=operators,
