--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -51,6 +51,7 @@
     TimerFired,
 )
 from cedarcross.measures import WorkRate, longer_ms, warmth
+from cedarcross.trials import Trials
 
 # The paper's own figures.
 BUDGET_CAPACITY = 100.0
@@ -771,6 +772,7 @@
         self.timers: dict[int, Callable[[], None]] = {}
         self.last_token = 0
         self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
+        self.trials = Trials()
         self.failed_calls = 0
         self.now_ms = float("-inf")
         self.actions: list[Action] = []
@@ -853,9 +855,11 @@
         self.attempt_budget.arrived(self.now_ms)
         self.turns.join(request)
         self.demand.arrived(request.class_name, work)
+        self.trials.arrived(self.now_ms)
         for pool in self.membership.halls.values() or [self.membership.near]:
             self._offer(request, pool)
-        if self.advisor is not None and not self.advisor.takes(self.now_ms, request.asking(self.now_ms)):
+        taken = self.advisor is None or self.advisor.takes(self.now_ms, request.asking(self.now_ms))
+        if not taken and not self.trials.due(self.now_ms):
             self._give_up(request)
         else:
             self._dispatch(request)
@@ -949,7 +953,21 @@
         pool.gate.offer(name, request.work, self.demand.part(name, pool.gate.share))
 
     def _try_send(self, request: Request) -> bool:
-        """Send, if a server may take the request now: one of the own zone where crossing is dear."""
+        """Send, if a server may take the request now."""
+        return self._try_pools(request) or self._try_trial(request)
+
+    def _try_trial(self, request: Request) -> bool:
+        """Send past the limits that were learned, and not past the guards of `_may_send`, if that is due."""
+        if request.attempts or not self.trials.due(self.now_ms):
+            return False
+        fit = [e for e in self.membership.endpoints.values() if self._may_send(request, e)]
+        endpoint = min(fit, key=lambda e: (e.suspended(self.now_ms), e.in_flight), default=None)
+        if endpoint is not None:
+            self._send(request, endpoint)
+        return endpoint is not None
+
+    def _try_pools(self, request: Request) -> bool:
+        """To a server of the own zone where crossing is dear."""
         if self.advisor is not None:
             asking, halls, admits = request.asking(self.now_ms), self.membership.halls, self.advisor.admits
             if not admits(self.now_ms, None, asking):
@@ -1134,6 +1152,7 @@
         else:
             pool.work_rate.add(self.now_ms, request.work)
         self._drop_timer(request)
+        self.trials.sent()
         if request.attempts:
             self.attempt_budget.made(self.now_ms)
             request.paid = False
--- a/cedarcross/limits/crowding.py
+++ b/cedarcross/limits/crowding.py
@@ -18,6 +18,9 @@
 from cedarcross.interface import Outcome
 
 MEMORY_MS = 6000.0  # what a server told longer ago says nothing of now
+# Where no server has answered for so long, what they showed before says nothing of now. Danger: an instance
+# that sends a trial now and then takes each quick answer for one of ten at a slow server, and is cut by it.
+MUTE_MS = 2000.0
 LOST_GAIN = 0.15  # about the last seven attempts
 MOST_LOST = 0.5  # with a larger share unanswered the servers are behind,
 LOST_MS = 1000.0  # unless one has answered within this, and they hold no more than this many times what they
@@ -49,6 +52,7 @@
         self._full = full
         self._seen: dict[str, Seen] = {}
         self._lost = 0.0
+        self._answered_ms = float("-inf")  # when any server answered last
 
     def __len__(self) -> int:
         return len(self._seen)
@@ -76,6 +80,9 @@
         if outcome is not Outcome.OK:
             return None
         self._lost -= LOST_GAIN * self._lost
+        if now_ms - self._answered_ms > MUTE_MS and self._seen:
+            self._seen = {server: Seen(now_ms, slowness=slowness)}
+        self._answered_ms = now_ms
         seen = self._seen.get(server)
         if seen is None:
             seen = self._seen[server] = Seen(now_ms)
--- a/tests/limits/test_crowding.py
+++ b/tests/limits/test_crowding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cedarcross.interface import Outcome
-from cedarcross.limits.crowding import LOST_MS, MEMORY_MS, Crowding
+from cedarcross.limits.crowding import LOST_MS, MEMORY_MS, MUTE_MS, Crowding
 
 FIELDS = ("inflight", "queue", "latency_ms")
 
@@ -87,3 +87,14 @@
         made.told(float(number), f"s{number}", Outcome.OK, 1.0, (4.0, 0.0, 40.0))
         made.forget({f"s{number}"})
     assert len(made) == 1
+
+
+def test_after_a_silence_the_first_answer_tells_how_servers_are_now() -> None:
+    # A quick answer counted as one of ten, and servers that were slow before looked slow for ten more.
+    made = Crowding((), 5.0)
+    for step in range(50):
+        made.told(step * 10.0, "a", Outcome.OK, 8.0, None)
+    assert made.told(500.0 + MUTE_MS, "a", Outcome.OK, 1.0, None) == pytest.approx(1.0)
+    slow = made.told(501.0 + 2 * MUTE_MS, "b", Outcome.OK, 8.0, None)
+    assert slow == pytest.approx(8.0, rel=0.11)
+    assert made.told(502.0 + 2 * MUTE_MS, "b", Outcome.OK, 1.0, None) == pytest.approx(7.3, rel=0.11)
