Read the old discovery's watch until the one that SIGHUP names has answered

Found by review: discovery.py, move, closed the watch at once. A drain that the old service had written and that was not read yet counts as told and was thrown away; so was what it told while the new service worked through its calls (up to 3 s), past the grace of 1 s.

The old watch is read until the new service has answered; an index of the old one is never told to the new one, and its end is no failure of it. Tests: both sides of a move, two moves, and on a virtual clock the new list known within 4 s of a move whatever the old watch was at (16 moments, eight ways, asked and pushed).

--- a/cedarcross/proxy/discovery.py
+++ b/cedarcross/proxy/discovery.py
@@ -97,6 +97,13 @@
         self._alarm: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
 
+    def hand_over(
+        self, on_message: Callable[[Json | None], bool], ended: Callable[[str, bool], None]
+    ) -> None:
+        """From now on another takes its messages, and hears of its end."""
+        if self._ended is not None:
+            self._on_message, self._ended = on_message, ended
+
     def open(self, address: Address, index: int | None) -> None:
         self._arm(DIAL_S)
         self._task = asyncio.get_running_loop().create_task(self._dial(address, index))
@@ -183,6 +190,7 @@
         self._directory = directory
         self._told = told
         self._watch: Watch | None = None
+        self._former: Watch | None = None  # at the service before a move, until the new one has answered
         self._again: asyncio.TimerHandle | None = None  # the next call, where the balancer does not ask
         self._answered = False
         self._stopped = False
@@ -207,17 +215,23 @@
 
     def move(self, address: Address) -> None:
         """Follow another service from now on. The list stands until that one answers, with the whole of
-        its own: an index of the old service means nothing there."""
+        its own: an index of the old service means nothing there.
+        Danger: a drain that the old service has written, and that is not read yet, counts as told. So its
+        watch is read until the new one answers."""
         if address == self._address:
             return
         self._address = address
         self._directory.index = None
+        if self._former is None and self._watch is not None:
+            self._former, self._watch = self._watch, None
+            self._former.hand_over(self._on_former_message, self._former_ended)
         self._call()
 
     def stop(self) -> None:
         """For good: whatever was to come opens no watch any more."""
         self._stopped = True
         self._drop()
+        self._drop_former()
 
     def _drop(self) -> None:
         if self._again is not None:
@@ -227,9 +241,26 @@
             self._watch.close()
             self._watch = None
 
+    def _drop_former(self) -> None:
+        former, self._former = self._former, None
+        if former is not None:
+            former.close()
+
+    def _on_former_message(self, message: Json | None) -> bool:
+        if message is not None:
+            event = self._directory.apply(message)
+            self._directory.index = None
+            self._told(event)
+        return True
+
+    def _former_ended(self, why: str, unreadable: bool) -> None:
+        log.info("discovery before the move: %s", why)
+        self._former = None
+
     def _on_message(self, message: Json | None) -> bool:
         if message is not None:
             event = self._directory.apply(message)
+            self._drop_former()
         elif self._answered:
             return True
         elif self._directory.index is None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,6 +10,7 @@
 from cedarcross.interface import EndpointsListed, EndpointState, ListKind
 from cedarcross.proxy import discovery as module
 from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.peer import Peer
 from tests.sockets import Host, Registry, entry, run, until
 
 
@@ -28,9 +29,12 @@
         return [event.kind for event in self.events]
 
     async def subscribe(self) -> None:
-        calls = len(self.registry.watches)
+        await self.subscribe_at(self.registry)
+
+    async def subscribe_at(self, registry: Registry) -> None:
+        calls = len(registry.watches)
         self.discovery.subscribe()
-        await until(lambda: len(self.registry.watches) > calls)
+        await until(lambda: len(registry.watches) > calls)
 
 
 A, B = Host("a", port=1), Host("b", port=2)
@@ -195,6 +199,103 @@
     run(test())
 
 
+@pytest.mark.parametrize("change", ["draining", "gone"])
+@pytest.mark.parametrize("when", ["before the move", "after the move"])
+def test_what_the_old_service_tells_beside_a_move_is_heard(when: str, change: str) -> None:
+    # Written before the move and not yet read, it counts as told; with the old watch it was thrown away.
+    async def test() -> None:
+        registry, elsewhere = await Registry().start(), await Registry().start()
+        told = Told(registry)
+        await told.subscribe()
+        registry.say(registry.change(entry(A), entry(B), full=True))
+        await until(lambda: len(told.events) == 1)
+        former = told.discovery._watch
+        assert former is not None and former._transport is not None
+        transport = former._transport
+        if when == "before the move":
+            transport.pause_reading()
+            registry.say(registry.change(entry(A, change)))
+            peer = Peer(transport.get_extra_info("socket").fileno())
+            await until(peer.has_sent)
+            transport.resume_reading()
+        told.discovery.move(("127.0.0.1", elsewhere.port))
+        if when == "after the move":
+            registry.say(registry.change(entry(A, change)))
+        # The new service works through its calls: it has not answered yet.
+        await until(lambda: len(told.events) == 2)
+        stands = {
+            name for name, known in told.directory.entries.items() if known.state is EndpointState.READY
+        }
+        assert stands == {"b"}
+        await until(lambda: len(elsewhere.watches) == 1)
+        assert "since" not in elsewhere.calls[0]
+        # Its answer is what holds from then on, and an index of the old service is never told to it.
+        elsewhere.say(elsewhere.change(entry(B), full=True))
+        await until(lambda: len(told.events) == 3)
+        assert transport.is_closing()
+        assert set(told.directory.entries) == {"b"}
+        elsewhere.watches[0].transport.abort()
+        await until(lambda: told.kinds[-1] is ListKind.FAILED)
+        await told.subscribe_at(elsewhere)
+        assert f"since={elsewhere.index}" in elsewhere.calls[1]
+        assert len(registry.calls) == 1
+        told.discovery.stop()
+        registry.stop()
+        elsewhere.stop()
+
+    run(test())
+
+
+def test_an_index_of_the_old_service_is_not_told_to_the_new_one() -> None:
+    # The first call to the new service fails, after the old one has told a change.
+    async def test() -> None:
+        registry, elsewhere = await Registry().start(), await Registry().start()
+        told = Told(registry)
+        await told.subscribe()
+        registry.say(registry.change(entry(A), full=True))
+        await until(lambda: len(told.events) == 1)
+        told.discovery.move(("127.0.0.1", elsewhere.port))
+        registry.say(registry.change(entry(A, "draining")))
+        await until(lambda: len(told.events) == 2 and len(elsewhere.watches) == 1)
+        elsewhere.watches[0].transport.abort()
+        await until(lambda: told.kinds[-1] is ListKind.FAILED)
+        registry.watches[0].transport.abort()  # its end is no failure of the new one
+        await told.subscribe_at(elsewhere)
+        assert "since" not in elsewhere.calls[1]
+        assert told.kinds == [ListKind.FULL, ListKind.DELTA, ListKind.FAILED]
+        told.discovery.stop()
+        registry.stop()
+        elsewhere.stop()
+
+    run(test())
+
+
+def test_moved_twice_the_first_service_is_heard_until_the_last_has_answered() -> None:
+    async def test() -> None:
+        registries = [await Registry().start() for _ in range(3)]
+        first, second, third = registries
+        told = Told(first)
+        await told.subscribe()
+        first.say(first.change(entry(A), entry(B), full=True))
+        await until(lambda: len(told.events) == 1)
+        told.discovery.move(("127.0.0.1", second.port))
+        await until(lambda: len(second.watches) == 1)
+        told.discovery.move(("127.0.0.1", third.port))
+        await until(lambda: len(third.watches) == 1)
+        second.say(second.change(full=True))  # it is not followed any more
+        first.say(first.change(entry(A, "draining")))
+        await until(lambda: len(told.events) == 2)
+        assert told.events[1].endpoints[0].state is EndpointState.DRAINING
+        third.say(third.change(entry(B), full=True))
+        await until(lambda: set(told.directory.entries) == {"b"})
+        assert len(told.events) == 3
+        told.discovery.stop()
+        for registry in registries:
+            registry.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("figure", ["weight", "since_ms", "group"])
 @pytest.mark.parametrize("value", ["-Infinity", "NaN", "1e999", '"x"'])
 def test_a_line_with_a_figure_that_is_none_is_taken_in_not_at_all(figure: str, value: str) -> None:
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -161,3 +161,72 @@
     again_s = max(module.RETRY_S, CALL_AGAIN_MS / 1000.0)
     assert stage_s + again_s + module.ROOM_S <= module.TOLD_S
     assert TURN_S < module.ROOM_S
+
+
+MOVED_S = 4.0  # after SIGHUP what the new service has counts as told
+LONGEST_TURN_S = 3.0  # a call waits for so long at discovery at most
+
+
+def answer_late(loop: VirtualLoop, call: Call) -> None:
+    loop.call_later(LONGEST_TURN_S, lambda: call.transport.write(HEAD + chunk(listed("draining", 1))))
+
+
+class Elsewhere:
+    """The service that a new configuration names. Each call waits its longest turn."""
+
+    def __init__(self, loop: VirtualLoop, network: MemoryNetwork, at: tuple[str, int]) -> None:
+        self.loop = loop
+        network.listen(loop, lambda: Call(self), at)  # type: ignore[arg-type]
+
+    def called(self, call: Call) -> None:
+        answer_late(self.loop, call)
+
+
+def moved_after_s(way: str, asked: bool, away_s: float, seed: int) -> float:
+    """From a move, `away_s` after the old service has left, to the moment at which the new list is known."""
+    scheduler = Scheduler()
+    with driven(scheduler.time, scheduler.time):
+        world = scheduler.new_loop("world")
+        network = MemoryNetwork(world)
+        Service(world, network, way)
+        elsewhere_at = ("127.0.0.1", 8501)
+        Elsewhere(world, network, elsewhere_at)
+        machine = network.join(scheduler.new_loop("proxy"))
+        raw = facts()
+        raw["discovery"] = "subscribe" if asked else "automatic"
+        settings = read_settings(raw)
+        directory = Directory()
+        upstream = Upstream(settings.limits, (), 1000.0, 100)
+
+        async def main() -> float:
+            core = Core(settings, seed, directory, upstream)
+            core.discovery = discovery = Discovery(AT, asked, directory, core.told)
+            core.start()
+            discovery.start()
+            while not directory.usable():
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1 + away_s)
+            moved_s = scheduler.time()
+            discovery.move(elsewhere_at)
+            while directory.entries["a"].state is not EndpointState.DRAINING:
+                await asyncio.sleep(0.01)
+                assert scheduler.time() < moved_s + 60.0, "it never heard"
+            heard_s = scheduler.time() - moved_s
+            discovery.stop()
+            return heard_s
+
+        return scheduler.run(machine, main(), 1000.0)
+
+
+@pytest.mark.parametrize("asked", [True, False], ids=["asked", "pushed"])
+@pytest.mark.parametrize("way", WAYS)
+def test_after_a_move_the_new_list_is_known_in_time_whatever_the_old_service_did(
+    way: str, asked: bool
+) -> None:
+    # Whatever the old watch, a call to it or the wait for the next one was at.
+    late = [
+        (0.57 * step, heard_s)
+        for step in range(16)
+        if (heard_s := moved_after_s(way, asked, 0.57 * step, step)) > MOVED_S
+    ]
+    assert not late
