Close what a whole list names as gone; hold whole lists after a cut watch to their word

Reviewed: a watch that is reset, and a whole list after it that leaves out a server which still answers. It held for new requests, repeats, resting connections and dials under way; tests/test_whole_lists.py shows each. One gap, in core.py, _tell: a whole list that names an entry as gone kept its host in the pool, with its resting connections, and a dial under way to it could have been written however late. The pool now keeps what the directory holds, whatever the kind of list.

Seen to fail: the entry named as gone with the code before; the others without the pool's unlisted, without the look for a late drain, and without the balancer's removal.

--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -210,11 +210,9 @@
 
     def _tell(self, event: EndpointsListed) -> None:
         leaving = self.beside() if self.beside is not None else frozenset()
-        if event.kind in (ListKind.FULL, ListKind.RESTORED):
-            self._upstream.unlisted({entry.name for entry in event.endpoints}, leaving)
         for entry in event.endpoints:
             self._tell_upstream(entry)
-        if event.kind is ListKind.DELTA:
+        if event.kind is not ListKind.FAILED:
             self._upstream.unlisted(self._directory.entries.keys(), leaving)
 
     def _tell_upstream(self, entry: ListedEndpoint) -> None:
