--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from math import ceil
@@ -50,6 +50,7 @@
     Subscribe,
     TimerFired,
 )
+from cedarcross.limits.gate import AdmissionGate
 from cedarcross.measures import WorkRate, longer_ms, warmth
 from cedarcross.routing.connected import ConnectedServers
 from cedarcross.trials import Trials
@@ -96,9 +97,6 @@
 # So many proxies that share a server crowd it with a request each, while each keeps to its own limit.
 CROWD = 10
 GOLDEN = 0.6180339887498949  # its multiples spread evenly over the circle, however the numbers are dealt out
-# What a late answer takes from the admitted share, and what each of a streak of answers in time gives back:
-# one step the first, five the fifth and later. So a share recovers fast once few are late, and slowly before.
-ADMIT_CUT, ADMIT_STEP, ADMIT_STREAK = 0.2, 0.01, 5
 UNCROWDED = 0.7  # an admitted share from which on a silent server is taken to be alone in it
 # Crossing zones at this price of a request or more is for when no local server has room; below it,
 # balance over all servers is worth more than what the crossing costs.
@@ -408,36 +406,6 @@
         return min(1.0, max(0.0, left / self._work[name]))
 
 
-class Gate:
-    """Admits a share of the work offered.
-
-    Danger: where many proxies share the servers, each has so little in flight at any of them that no
-    limit on that holds back a crowd: servers fill with work that will be late, and stay full of it.
-    """
-
-    def __init__(self) -> None:
-        self.share = 1.0
-        self._streak = 0
-        self._credit: defaultdict[str, float] = defaultdict(float)  # by class
-
-    def offer(self, name: str, work: float, part: float) -> None:
-        self._credit[name] = min(self._credit[name] + part * work, 2 * work)
-
-    def admits(self, name: str, work: float) -> bool:
-        return self.share >= 1 or self._credit[name] >= work
-
-    def take(self, name: str, work: float) -> None:
-        if self.share < 1:
-            self._credit[name] = max(0.0, self._credit[name] - work)
-
-    def answered(self, late: bool) -> None:
-        self._streak = 0 if late else min(ADMIT_STREAK, self._streak + 1)
-        if late:
-            self.share -= ADMIT_CUT * self.share
-        else:
-            self.share = min(1.0, self.share + ADMIT_STEP * self._streak)
-
-
 class Pool:
     """Servers that are as good as each other to this proxy, and its own part of them."""
 
@@ -449,7 +417,7 @@
         self.ring: list[Endpoint] = []  # from this proxy's place on
         self.size = 0  # how many of them it uses
         self._weight = 1.0  # of them in the mean
-        self.gate = Gate()
+        self.gate = AdmissionGate()
         self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.push_window_ms)
 
     def fill(self, endpoints: list[Endpoint]) -> None:
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from dataclasses import replace
 
-from cedarcross.balance import SUBSET_LEAST, Demand, Gate, Pool
+from cedarcross.balance import SUBSET_LEAST, Demand, Pool
 from cedarcross.interface import Objective, Outcome, Refuse
+from cedarcross.limits.gate import AdmissionGate
 from tests.driver import SETTINGS, Driver, endpoint
 
 LARGE = replace(SETTINGS, proxies=300)
@@ -73,7 +74,7 @@
 
 
 def test_gate_admits_its_share() -> None:
-    gate = Gate()
+    gate = AdmissionGate()
     while gate.share > 0.5:
         gate.answered(late=True)
     admitted = 0
@@ -86,7 +87,7 @@
 
 
 def test_gate_recovers_with_answers_in_time() -> None:
-    gate = Gate()
+    gate = AdmissionGate()
     for _ in range(20):
         gate.answered(late=True)
     assert gate.share < 0.2
