--- a/benchmarks/added_time.py
+++ b/benchmarks/added_time.py
@@ -50,7 +50,7 @@
 
     def __init__(self) -> None:
         self.calls: list[list[Stamp]] = []
-        self.beside: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.beside: defaultdict[str, list[tuple[float, float, float]]] = defaultdict(list)
         self._open: dict[int, list[Stamp]] = {}
         self._read: Stamp = (0.0, 0.0)
         self._deciding: list[Stamp] = []
@@ -86,7 +86,7 @@
                 return inner(*args, **named)
             finally:
                 after = stamp()
-                self.beside[told].append((after[0] - before[0], after[1] - before[1]))
+                self.beside[told].append((before[0], after[0] - before[0], after[1] - before[1]))
 
         setattr(owner, name, timed)
 
@@ -94,8 +94,8 @@
         if phase == "start":
             self._collecting = stamp()
         else:
-            after = stamp()
-            spent = after[0] - self._collecting[0], after[1] - self._collecting[1]
+            before, after = self._collecting, stamp()
+            spent = before[0], after[0] - before[0], after[1] - before[1]
             self.beside[f"collector, generation {info['generation']}"].append(spent)
 
     def _around_read(self, owner: Any) -> None:
@@ -211,27 +211,29 @@
             clock: told_us([each[number + 1][at] - each[number][at] for each in kept])
             for at, clock in enumerate(("wall_us", "cpu_us"))
         }
-    inside = [
-        sum(each[n + 1][0] - each[n][0] for n, name in enumerate(PARTS) if name != "server") for each in kept
-    ]
+    own = [number for number, name in enumerate(PARTS) if name != "server"]
+    inside = [sum(each[n + 1][0] - each[n][0] for n in own) for each in kept]
+    inside_cpu = [sum(each[n + 1][1] - each[n][1] for n in own) for each in kept]
     slowest = sorted(zip(inside, kept, strict=True), key=lambda pair: pair[0])[-max(1, len(kept) // 100) :]
     mean_of_slowest = {
         name: round(1e6 * sum(each[n + 1][0] - each[n][0] for _, each in slowest) / len(slowest), 1)
         for n, name in enumerate(PARTS)
     }
-    beside = {
-        name: {
-            "times": len(spans),
-            "wall_us": told_us([wall for wall, _ in spans]),
-            "cpu_us": told_us([cpu for _, cpu in spans]),
+    beside = {}
+    for name, spans in found["beside"].items():
+        later = [(wall, cpu) for at, wall, cpu in spans if at >= begun_s]
+        beside[name] = {
+            "times": len(later),
+            "before": len(spans) - len(later),  # at the start: not counted
+            "wall_us": told_us([wall for wall, _ in later]),
+            "cpu_us": told_us([cpu for _, cpu in later]),
         }
-        for name, spans in found["beside"].items()
-    }
     return {
         "calls": len(kept),
         "dialled": sum(dialled),
         "parts": parts,
         "inside_wall_us": told_us(inside),
+        "inside_cpu_us": told_us(inside_cpu),
         "slowest_hundredth_wall_us": mean_of_slowest,
         "beside": beside,
     }
