Prefer connected servers only where more are in use than connections may be open

Cause: the preference began once three quarters of the connections were in use, so that a proxy of 30 with 272 servers and 320 connections had it without need.

Change: it needs more servers in use, over all pools drawn from, than connections. Test: the same decisions as before for 200 servers and 200 connections.

--- a/cedarcross/balance.py
+++ b/cedarcross/balance.py
@@ -544,6 +544,10 @@
                 self.halls[hall] = before.get(hall) or Pool(self._settings, self._advisor)
                 self.halls[hall].fill([e for e in ready if e.listed.zone == hall])
 
+    def in_use(self) -> int:
+        """How many servers this proxy uses, of all pools that it draws from."""
+        return sum(pool.size for pool in self.halls.values() or (self.near, self.far))
+
     def _remove(self, name: str) -> None:
         """Danger: a request that has drawn it, and looks, would still send to it."""
         known = self.endpoints.pop(name, None)
@@ -819,7 +823,7 @@
 
     def _on_list(self, event: EndpointsListed) -> None:
         self.membership.update(event)
-        self.connected.listed(self.membership.endpoints.values())
+        self.connected.listed(self.membership.endpoints.values(), self.membership.in_use())
         for endpoint in self.membership.endpoints.values():
             if endpoint.drift_ms is None and len(self.membership.endpoints) > WALKED:
                 endpoint.drift_ms = self.now_ms  # drawn from: what is not drawn yet fades all the same
--- a/cedarcross/routing/connected.py
+++ b/cedarcross/routing/connected.py
@@ -33,7 +33,9 @@
 
     def __init__(self, connections: int | None) -> None:
         """`connections`: to servers, that may be open at once; None: not told, and never short."""
+        self._connections = connections
         self._most = None if connections is None else max(2, int(KEPT_PART * connections))
+        self._too_many = False  # more servers are in use than connections may be open
         self._servers: list[Endpoint] = []  # in no order, to draw from
         self._index: dict[Endpoint, int] = {}  # of each in that list; the latest used last
 
@@ -45,8 +47,8 @@
 
     @property
     def short(self) -> bool:
-        """Are there as many servers in use as connections are kept to?"""
-        return self._most is not None and len(self._servers) >= self._most
+        """Are connections short, and kept to as many servers as they are enough for?"""
+        return self._too_many and self._most is not None and len(self._servers) >= self._most
 
     def used(self, endpoint: Endpoint) -> None:
         """Something was sent to it, or it has answered."""
@@ -67,8 +69,10 @@
         elif endpoint in self._index:
             self._remove(endpoint)
 
-    def listed(self, endpoints: Iterable[Endpoint]) -> None:
-        """All servers known by now; connections to any that may not get new work are closed."""
+    def listed(self, endpoints: Iterable[Endpoint], in_use: int) -> None:
+        """All servers known by now; connections to any that may not get new work are closed. `in_use`: how
+        many of them this proxy draws from."""
+        self._too_many = self._connections is not None and in_use > self._connections
         ready = {endpoint for endpoint in endpoints if endpoint.listed.state is EndpointState.READY}
         for endpoint in [endpoint for endpoint in self._servers if endpoint not in ready]:
             self._remove(endpoint)
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -121,7 +121,7 @@
         yield balancer.handle(now_ms + 2.0, [ended])
 
 
-@pytest.mark.parametrize(("count", "connections"), [(10, 320), (60, 181), (60, 81), (200, 320)])
+@pytest.mark.parametrize(("count", "connections"), [(10, 320), (60, 181), (60, 60), (200, 320), (200, 200)])
 def test_lists_shorter_than_the_connections_are_used_as_before(count: int, connections: int) -> None:
     before = list(actions_of(holding(None), count))
     assert list(actions_of(holding(connections), count)) == before
