Measure and fit what the balancer costs by size: python -m benchmarks.scale

Need: the capacity of a fleet of 680 was argued from trials at one size each. A slope needs five sizes that take turns, a fit and the fit's error.

Change: one module a cost (decision, list, signatures, leases and changes on the virtual clock, a real control machine under requests of many instances, services on a host, a chain of real processes, authors at once and overtaken, datagrams at once, gossip's table, the data path), one for the fit (line, power law, one bend), one for JSON and page. Processor time is the measured process's own; what gives the same figures each time runs once.

--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,56 @@
+"""The costs of the balancer over its sizes, measured and fitted.
+
+    python -m benchmarks.scale [--costs NAMES] [--rounds 3] [--json F] [--page F]
+
+Sizes take turns within each round. Every reading is printed as a line of JSON; `--json` gets the series with
+their fits, `--page` a page with plots (extra `plots`). Processor time is that of the processes measured, not
+the wall's."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import platform
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from benchmarks.scale import catalogue, report
+from benchmarks.scale.cost import Series, run_rounds
+
+
+def _arguments(words: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.scale")
+    parser.add_argument("--costs", nargs="+", choices=sorted(catalogue.COSTS), metavar="NAME")
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--json", type=Path)
+    parser.add_argument("--page", type=Path)
+    return parser.parse_args(words)
+
+
+def machine() -> dict[str, Any]:
+    return {"cores": os.cpu_count(), "python": platform.python_version()}
+
+
+def main(words: list[str] | None = None) -> int:
+    given = sys.argv[1:] if words is None else words
+    args = _arguments(given)
+    names = args.costs or list(catalogue.COSTS)
+    every: list[Series] = []
+    for name in names:
+        begin_s = time.monotonic()
+        every += run_rounds(catalogue.COSTS[name], args.rounds, lambda line: print(line, flush=True))
+        took = {"cost": name, "took_s": round(time.monotonic() - begin_s, 1)}
+        print(json.dumps(took), flush=True)
+    command = f"python -m benchmarks.scale --costs {' '.join(names)} --rounds {args.rounds}"
+    if args.json is not None:
+        args.json.write_text(json.dumps(report.document(every, command, machine()), indent=1) + "\n")
+    if args.page is not None:
+        args.page.write_text(report.page(every, command))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/scale/catalogue.py
@@ -0,0 +1,39 @@
+"""Every cost that is measured, by its name."""
+
+from __future__ import annotations
+
+from benchmarks.scale import (
+    agreement,
+    authors,
+    burst,
+    control_machine,
+    data_path_cost,
+    decision,
+    depth,
+    gossip_table,
+    lists,
+    overtaken,
+    services,
+    signatures,
+)
+from benchmarks.scale.cost import Cost
+
+EVERY = (
+    decision.COST,
+    lists.COST,
+    signatures.COST,
+    agreement.QUIET,
+    agreement.CHANGE,
+    agreement.BY_LEASE,
+    agreement.BY_CHANGES,
+    control_machine.COST,
+    services.COST,
+    depth.COST,
+    burst.COST,
+    authors.COST,
+    overtaken.COST,
+    gossip_table.COST,
+    data_path_cost.SHARED,
+    data_path_cost.OWN_PORTS,
+)
+COSTS: dict[str, Cost] = {cost.name: cost for cost in EVERY}
--- /dev/null
+++ b/benchmarks/scale/data_path_cost.py
@@ -0,0 +1,46 @@
+"""What one daemon adds to a call over the servers in its list, by `data_path`, as a cost among the others."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from benchmarks.scale import data_path
+from benchmarks.scale.cost import Cost, Quantity, Readings
+
+SERVERS = (10, 34, 100, 200, 300, 400, 680)
+CALLS_PER_S = 294.0
+LENGTH_S = 5.0
+
+QUANTITIES = (
+    Quantity("lost", "of the calls"),
+    Quantity("cpu", "ms a call"),
+    Quantity("added_p50", "ms"),
+    Quantity("added_p99", "ms"),
+    Quantity("memory", "MB"),
+    Quantity("dials", "connections made in a trial"),
+)
+
+
+def measure(
+    servers: int, own_ports: bool = False, calls_per_s: float = CALLS_PER_S, length_s: float = LENGTH_S
+) -> Readings:
+    sample = data_path.measure(servers, calls_per_s, length_s, own_ports)
+    return {
+        "lost": sample.lost_share,
+        "cpu": sample.cpu_ms_per_call,
+        "added_p50": sample.added_ms.p50,
+        "added_p99": sample.added_ms.p99,
+        "memory": sample.resident_kb / 1024.0,
+        "dials": float(sample.dials),
+    }
+
+
+SHARED = Cost("data_path", "servers in the list", SERVERS, "real processes", QUANTITIES, measure)
+OWN_PORTS = Cost(
+    "data_path_own_ports",
+    "servers in the list, each with a port of its own",
+    SERVERS,
+    "real processes",
+    QUANTITIES,
+    partial(measure, own_ports=True),
+)
--- /dev/null
+++ b/benchmarks/scale/depth.py
@@ -0,0 +1,175 @@
+"""A chain of services, each behind a client proxy of its own: what depth adds to a call, what is left of the
+deadline at its end, and how often a failing leaf is asked.
+
+Each level is a real `cedarcross serve` with a list of three servers, which are one process (`chain_service`)
+at three addresses; it calls the next level's proxy. Calls come open loop, few and bounded in number, first
+to a chain that is well and then to one whose leaf answers every call with 500."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import mean
+
+from benchmarks.scale.chain_http import HttpClient, HttpError
+from benchmarks.scale.cost import Cost, Quantity, Readings
+from benchmarks.scale.data_path import quantiles
+from benchmarks.scale.processes import children, serve, serve_text, servers_text
+from cedarcross.rig.process import Child
+
+LEVELS = (1, 3, 8, 16, 26)
+SERVERS = 3
+DEADLINE_MS = 2000.0
+CALLS_PER_S = 8.0
+CALLS = 40
+WARM_CALLS = 8
+PROXY_PORT, SERVICE_PORT = 8750, 8751
+AT_ONCE = 6  # levels that are being started at a time
+REFUSED = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """`status` 0: none came within the deadline. `late_ms`: how late the load sent it."""
+
+    trace: str
+    status: int
+    took_ms: float
+    late_ms: float
+
+
+def _proxy(level: int) -> str:
+    return f"127.78.{level}.1:{PROXY_PORT}"
+
+
+def _services(level: int) -> list[str]:
+    return [f"127.78.{level}.{10 + n}:{SERVICE_PORT}" for n in range(SERVERS)]
+
+
+async def _start_level(level: int, depth: int, fails: bool, folder: Path, started: list[Child]) -> None:
+    """Raises RigError if a process ends before it listens."""
+    (folder / f"servers-{level}.toml").write_text(servers_text(_services(level)))
+    more = f'[servers]\nfile = "servers-{level}.toml"\nsettle_ms = 0'
+    service = Child(f"service-{level}", folder)
+    started.append(service)
+    words = [*_services(level)]
+    if level < depth:
+        words += ["--next", _proxy(level + 1)]
+    else:
+        words += ["--tally", str(folder / "tally.jsonl"), *(["--fail"] if fails else [])]
+    await service.start("benchmarks.scale.chain_service", *words)
+    proxy = await serve(f"proxy-{level}", folder, serve_text("p", _proxy(level), DEADLINE_MS, more))
+    started.append(proxy)
+    await service.listening(SERVICE_PORT)
+    await proxy.listening(PROXY_PORT)
+
+
+async def _call(client: HttpClient, trace: str, due_s: float) -> Answer:
+    """Its time counts from when it was due."""
+    late_ms = 1000.0 * (time.monotonic() - due_s)
+    status = 0
+    try:
+        async with asyncio.timeout(DEADLINE_MS / 1000.0):
+            status = await client.call(trace, DEADLINE_MS)
+    except (TimeoutError, OSError, HttpError):
+        pass
+    return Answer(trace, status, 1000.0 * (time.monotonic() - due_s), late_ms)
+
+
+async def _offer(host: str, port: int, calls: int, name: str) -> list[Answer]:
+    """Open loop, at even gaps."""
+    client = HttpClient(host, port)
+    begin_s = time.monotonic()
+    tasks = []
+    for number in range(calls):
+        due_s = begin_s + number / CALLS_PER_S
+        await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+        tasks.append(asyncio.create_task(_call(client, f"{name}-{number}", due_s)))
+    answers = await asyncio.gather(*tasks)
+    client.close()
+    return list(answers)
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    answers: Sequence[Answer]
+    direct: Sequence[Answer]
+    leaf_calls: Counter[str]  # by trace
+    left_ms: Sequence[float]  # of the deadline, at each call of the leaf
+
+
+async def run(depth: int, fails: bool, calls: int = CALLS) -> Run:
+    """One chain from its start to its end. `direct`: calls of the leaf itself, one by one with the same
+    gaps."""
+    with tempfile.TemporaryDirectory(prefix="chain-") as made:
+        folder = Path(made)
+        async with children() as started:
+            for first in range(1, depth + 1, AT_ONCE):
+                levels = range(first, min(first + AT_ONCE, depth + 1))
+                await asyncio.gather(*(_start_level(n, depth, fails, folder, started) for n in levels))
+            await asyncio.sleep(0.5)  # lists are read
+            proxy, leaf = _address(_proxy(1)), _address(_services(depth)[0])
+            if not fails:
+                await _offer(*proxy, WARM_CALLS, "warm")
+            answers = await _offer(*proxy, calls, "call")
+            direct = [] if fails else await _offer(*leaf, calls, "direct")
+            told = [json.loads(line) for line in (folder / "tally.jsonl").read_text().splitlines()]
+            counted = [each for each in told if each["trace"].startswith("call-")]
+            leaf_calls = Counter(str(each["trace"]) for each in counted)
+            return Run(answers, direct, leaf_calls, [float(each["left_ms"]) for each in counted])
+
+
+def measure(depth: int, calls: int = CALLS) -> Readings:
+    well = asyncio.run(run(depth, False, calls))
+    failing = asyncio.run(run(depth, True, calls))
+    took = quantiles([answer.took_ms for answer in well.answers])
+    direct = quantiles([answer.took_ms for answer in well.direct])
+    statuses = Counter(answer.status for answer in failing.answers)
+    attempts = [failing.leaf_calls.get(answer.trace, 0) for answer in failing.answers]
+    return {
+        "served": sum(answer.status == 200 for answer in well.answers) / calls,
+        "added_p50": took.p50 - direct.p50,
+        "added_p99": took.p99 - direct.p99,
+        "left": mean(well.left_ms) if well.left_ms else 0.0,
+        "attempts": mean(attempts),
+        "attempts_first": float(attempts[0]),
+        "attempts_most": float(max(attempts)),
+        "told_refused": statuses[REFUSED] / calls,
+        "told_error": sum(count for status, count in statuses.items() if status >= 500) / calls
+        - statuses[REFUSED] / calls,
+        "unanswered": statuses[0] / calls,
+        "told_p50": quantiles([answer.took_ms for answer in failing.answers]).p50,
+    }
+
+
+COST = Cost(
+    name="depth",
+    axis="levels",
+    sizes=LEVELS,
+    basis="real processes",
+    quantities=(
+        Quantity("served", "of the calls, chain well"),
+        Quantity("added_p50", "ms, chain well"),
+        Quantity("added_p99", "ms, chain well"),
+        Quantity("left", "ms of 2,000 at the leaf, chain well"),
+        Quantity("attempts", "attempts at the failing leaf a call"),
+        Quantity("attempts_first", "attempts at the failing leaf by the first call"),
+        Quantity("attempts_most", "attempts at the failing leaf by one call"),
+        Quantity("told_refused", "of the calls, leaf failing"),
+        Quantity("told_error", "of the calls, leaf failing"),
+        Quantity("unanswered", "of the calls, leaf failing"),
+        Quantity("told_p50", "ms, leaf failing"),
+    ),
+    measure=measure,
+)
--- /dev/null
+++ b/benchmarks/scale/gossip_table.py
@@ -0,0 +1,44 @@
+"""How many of a fleet's members one gossip table holds. No sockets."""
+
+from __future__ import annotations
+
+from random import Random
+
+from benchmarks.scale.cost import Cost, Quantity, Readings
+from cedarcross.membership.members import Member, Members
+from cedarcross.membership.swim import SwimSettings
+from cedarcross.membership.wire import Alive, Card
+
+INSTANCES = (34, 100, 200, 256, 340, 680)
+SEED = 7
+SAMPLED = 20  # tables that are filled
+
+
+def _member(number: int) -> Member:
+    card = Card(number, 0, 1, 1, bytes(32), bytes(64))
+    return Member(card, Alive(number, 1, 1, "127.0.0.1", 1, False, bytes(64)))
+
+
+def measure(instances: int) -> Readings:
+    """Tables of a few instances, after each has heard of everybody in an order of its own."""
+    chance = Random(SEED)
+    most = SwimSettings().most_members
+    sizes = []
+    for own in range(min(SAMPLED, instances)):
+        table = Members(own, most)
+        others = [number for number in range(instances) if number != own]
+        chance.shuffle(others)
+        for number in others:
+            table.add(_member(number))
+        sizes.append(len(table))
+    return {"held": sum(sizes) / len(sizes), "share": sum(sizes) / len(sizes) / (instances - 1)}
+
+
+COST = Cost(
+    name="gossip_table",
+    axis="instances",
+    sizes=INSTANCES,
+    basis="counted",
+    quantities=(Quantity("held", "members of a table"), Quantity("share", "of the other instances")),
+    measure=measure,
+)
--- /dev/null
+++ b/benchmarks/scale/lists.py
@@ -0,0 +1,100 @@
+"""The list of servers: as the agreed file (TOML) and as discovery's message (JSON), over its length.
+
+What is timed runs in the event loop, between two calls. An instance reads the agreed file twice for each
+change: when it is asked whether it can take it, and when it prepares the decided version."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+
+from benchmarks.scale.cost import Cost, Quantity, Readings
+from cedarcross.balance import Balancer
+from cedarcross.config.fleet import seal
+from cedarcross.config.policy import read_policy
+from cedarcross.interface import Idempotency, RequestClass, Settings
+from cedarcross.proxy.discovery import Directory
+
+SERVERS = (10, 34, 100, 200, 340, 680)
+SEED = 7
+REPEATS = 5
+PROXIES = 680
+CLASS = RequestClass("look-up", aim_ms=500, deadline_ms=2000, idempotency=Idempotency.SAFE)
+POLICY = """[policy]
+attempts = 3
+
+[[class]]
+name = "look-up"
+effect = "safe"
+aim_ms = 500
+deadline_ms = 2000
+"""
+
+
+def policy_file(servers: int) -> bytes:
+    """An agreed file with so many servers, sealed."""
+    tables = [
+        f'[[server]]\nname = "server-{number:04d}"\n'
+        f'address = "10.0.{number // 250}.{1 + number % 250}:8000"\n'
+        f'hall = "zone-{number % 6}"\nrack = {number % 40}\n'
+        for number in range(servers)
+    ]
+    return seal((POLICY + "\n".join(tables)).encode(), 1)
+
+
+def discovery_message(servers: int) -> bytes:
+    """The whole list, as discovery sends it at the start and after a gap."""
+    endpoints = [
+        {
+            "name": f"server-{number:04d}",
+            "address": f"10.0.{number // 250}.{1 + number % 250}:8000",
+            "zone": f"zone-{number % 6}",
+            "group": number % 40,
+            "weight": 1.0,
+            "status": "ready",
+            "since_ms": 0,
+        }
+        for number in range(servers)
+    ]
+    return json.dumps({"index": 1, "snapshot": True, "endpoints": endpoints}).encode()
+
+
+def _cpu_ms(work: Callable[[], object]) -> float:
+    """Of one run, the least of a few."""
+    spent = []
+    for _ in range(REPEATS):
+        before_s = time.process_time()
+        work()
+        spent.append(time.process_time() - before_s)
+    return 1000.0 * min(spent)
+
+
+def measure(servers: int) -> Readings:
+    content, message = policy_file(servers), discovery_message(servers)
+    decoded = json.loads(message)
+    event = Directory().apply(decoded)
+    balancer = Balancer(Settings(classes=(CLASS,), proxies=PROXIES), SEED)
+    return {
+        "policy_bytes": len(content),
+        "policy_read": _cpu_ms(lambda: read_policy(content, "the policy")),
+        "discovery_bytes": len(message),
+        "discovery_read": _cpu_ms(lambda: Directory().apply(json.loads(message))),
+        "apply": _cpu_ms(lambda: balancer.handle(balancer.now_ms + 1.0, [event])),
+    }
+
+
+COST = Cost(
+    name="list",
+    axis="servers in the list",
+    sizes=SERVERS,
+    basis="processor time",
+    quantities=(
+        Quantity("policy_bytes", "bytes"),
+        Quantity("policy_read", "ms"),
+        Quantity("discovery_bytes", "bytes"),
+        Quantity("discovery_read", "ms"),
+        Quantity("apply", "ms"),
+    ),
+    measure=measure,
+)
--- /dev/null
+++ b/benchmarks/scale/town.py
@@ -0,0 +1,65 @@
+"""The agreement's messages on a virtual clock, counted by role: control machines and followers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cedarcross.agreement.node import Ended
+from cedarcross.agreement.town import Town, TownSettings
+from cedarcross.agreement.words import Word, encode
+
+SENDER_BYTES, SIGNATURE_BYTES, MAC_BYTES = 4, 64, 16  # round each message in its datagram (agreement/carrier)
+IP_UDP_BYTES = 28
+FRAME_BYTES = SENDER_BYTES + SIGNATURE_BYTES + MAC_BYTES + IP_UDP_BYTES
+
+
+@dataclass
+class Traffic:
+    """Datagrams and bytes, headers of IP and UDP included."""
+
+    sent: int = 0
+    received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+    def minus(self, other: Traffic) -> Traffic:
+        return Traffic(
+            self.sent - other.sent,
+            self.received - other.received,
+            self.bytes_sent - other.bytes_sent,
+            self.bytes_received - other.bytes_received,
+        )
+
+
+@dataclass
+class CountedTown(Town):
+    """A town that counts what control machines and followers send and receive. What a node says to itself
+    takes no datagram and is not counted."""
+
+    control: Traffic = field(default_factory=Traffic)
+    followers: Traffic = field(default_factory=Traffic)
+
+    def _of(self, node: int) -> Traffic:
+        return self.control if node < self.stated.seats else self.followers
+
+    def _say(self, n: int, to: int, word: Word, late_ms: float) -> None:
+        if to != n:
+            size = len(encode(word)) + FRAME_BYTES
+            sender, receiver = self._of(n), self._of(to)
+            sender.sent, sender.bytes_sent = sender.sent + 1, sender.bytes_sent + size
+            receiver.received, receiver.bytes_received = receiver.received + 1, receiver.bytes_received + size
+        super()._say(n, to, word, late_ms)
+
+    def snapshot(self) -> tuple[Traffic, Traffic]:
+        """Of control machines and of followers, so far."""
+        return self.control.minus(Traffic()), self.followers.minus(Traffic())
+
+    def outcome(self, change: str) -> Ended | None:
+        """What became of a change; None: it is still under way."""
+        return next((ended for ended in self.ended if ended.change == change), None)
+
+
+def town(
+    size: int, lease_ms: float = 3000.0, seed: int = 7, seats: int = 5, loss: float = 0.0
+) -> CountedTown:
+    return CountedTown(TownSettings(size=size, seats=seats, lease_ms=lease_ms, loss=loss, seed=seed))
--- /dev/null
+++ b/tests/scale_costs/test_report.py
@@ -0,0 +1,86 @@
+"""Rounds, the JSON and the page of the costs, on a cost that is made up."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from benchmarks.scale import __main__ as command
+from benchmarks.scale import catalogue, report
+from benchmarks.scale.cost import Basis, Cost, Quantity, Readings, run_rounds
+
+SIZES = (1, 2, 4, 8, 16)
+
+
+def made_up(measure: Callable[[int], Readings], basis: Basis = "processor time") -> Cost:
+    return Cost(
+        "made_up", "sizes", SIZES, basis, (Quantity("first", "us"), Quantity("second", "ms")), measure
+    )
+
+
+def lines(size: int) -> Readings:
+    return {"first": 2.0 * size, "second": 3.0}
+
+
+def test_sizes_take_turns_within_a_round() -> None:
+    order: list[int] = []
+
+    def measure(size: int) -> Readings:
+        order.append(size)
+        return lines(size)
+
+    series = run_rounds(made_up(measure), 3, lambda line: None)
+    assert order == [*SIZES] * 3
+    assert [each.name for each in series] == ["made_up.first", "made_up.second"]
+    assert series[0].readings[16] == (32.0, 32.0, 32.0)
+
+
+def test_what_is_the_same_each_time_takes_one_round() -> None:
+    series = run_rounds(made_up(lines, "virtual clock"), 3, lambda line: None)
+    assert series[0].readings[1] == (2.0,)
+
+
+def test_fewer_than_five_sizes_are_refused() -> None:
+    with pytest.raises(ValueError, match="made_up"):
+        Cost("made_up", "sizes", (1, 2, 3), "counted", (Quantity("first", "us"),), lines)
+
+
+def test_the_json_has_each_series_with_its_fit_and_command() -> None:
+    series = run_rounds(made_up(lines), 2, lambda line: None)
+    found = report.document(series, "the command", {"cores": 8})
+    entry = json.loads(json.dumps(found))["series"]["made_up.first"]
+    assert entry["command"] == "the command"
+    assert entry["unit"] == "us" and entry["rounds"] == 2
+    assert entry["at"]["4"] == {"least": 8.0, "median": 8.0, "most": 8.0}
+    assert entry["fit"]["line"]["slope"] == pytest.approx(2.0)
+
+
+def test_the_page_has_a_plot_of_each_series() -> None:
+    series = run_rounds(made_up(lines), 2, lambda line: None)
+    page = report.page(series, "the <command>")
+    assert page.count("data:image/png;base64,") == 2
+    assert "the &lt;command&gt;" in page
+    assert "line: 0 + 2" in page or "line: " in page
+
+
+def test_the_command_writes_json_and_page(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setitem(catalogue.COSTS, "made_up", made_up(lines))
+    to_json, to_page = tmp_path / "slopes.json", tmp_path / "slopes.html"
+    words = ["--costs", "made_up", "--rounds", "2", "--json", str(to_json), "--page", str(to_page)]
+    assert command.main(words) == 0
+    assert set(json.loads(to_json.read_text())["series"]) == {"made_up.first", "made_up.second"}
+    assert "made_up.first" in to_page.read_text()
+    first_line = json.loads(capsys.readouterr().out.splitlines()[0])
+    assert first_line == {"cost": "made_up", "round": 0, "size": 1, "first": 2.0, "second": 3.0}
+
+
+def test_an_unknown_cost_is_refused(capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as refused:
+        command.main(["--costs", "nothing"])
+    assert refused.value.code == 2
+    assert "nothing" in capsys.readouterr().err
