Add docs/CAPACITY.md: each role's cost by formula, slope, budget and ratio

Need: which mechanism is missing first at 680 hosts was a matter of reading. The page has to follow from measured slopes, and to say where there is none.

Change: benchmarks/capacity has the planned sizes and budgets, one typed row a quantity (role, formula as a function, the measurements behind it, budget, mechanism and file), the failures, and a renderer that writes the tables between markers. docs/capacity/slopes.json has the series of benchmarks.scale. tests/capacity holds the page against them, a lacking measurement fails by the row's name, formulas stand against values computed by hand.

--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""What the planned fleet costs by role: formulas over measured slopes, held against budgets."""
--- /dev/null
+++ b/benchmarks/capacity/rows.py
@@ -0,0 +1,395 @@
+"""Every row of the capacity page: by role, its formula, the measurements behind it, and its budget."""
+
+from __future__ import annotations
+
+from benchmarks.capacity import formulas
+from benchmarks.capacity.row import Claim, Kind, Mechanism, Role, Row
+
+BALANCER = Mechanism("two draws over a list", "cedarcross/balance.py")
+UPSTREAM = Mechanism("pools of connections, one for each server", "cedarcross/proxy/upstream.py")
+EVENT_LOOP = Mechanism("one event loop for calls and control", "cedarcross/proxy/daemon.py")
+SERVE = Mechanism("one list a process", "cedarcross/cli/serve.py")
+RETRY_BUDGET = Mechanism("retry budget: a tenth of what was served, 100 tokens", "cedarcross/balance.py")
+DEADLINE = Mechanism("what is left of the deadline goes along", "cedarcross/proxy/messages.py")
+LEASE = Mechanism("a lease by a majority, asked for after a quarter of it", "cedarcross/agreement/holder.py")
+SIGNATURES = Mechanism("Ed25519 on each answer of a control machine", "cedarcross/agreement/carrier.py")
+READING = Mechanism("tomllib and pydantic, in the event loop", "cedarcross/config/policy.py")
+FAN_OUT = Mechanism("the author asks and tells everybody itself", "cedarcross/agreement/node.py")
+RECEIVE_BUFFER = Mechanism("64 KiB of receive buffer, asked again later", "cedarcross/membership/link.py")
+ONE_GROUP = Mechanism("one group of control machines over all regions", "cedarcross/agreement/voter.py")
+AFTER = Mechanism("`--after`: made from the newest version", "cedarcross/agreement/source.py")
+BALLOTS = Mechanism("ballots with waits that differ", "cedarcross/agreement/proposer.py")
+GOSSIP_TABLE = Mechanism("256 members, by rendezvous hashing", "cedarcross/membership/members.py")
+STORE = Mechanism("the last 20 bodies", "cedarcross/agreement/store.py")
+DIRECTORY = Mechanism(
+    "the whole list at the start and after a gap, else changes", "cedarcross/proxy/discovery.py"
+)
+ROLLOUT = Mechanism(
+    "stages in the agreed file, counts to the control machines", "cedarcross/rollout/carried.py"
+)
+
+DATA_PATH = (
+    Row(
+        "Lists, added time at 680 servers", Role.DATA_PATH, Kind.TIME,
+        "measured at 294 calls a second, 680 names of ten servers", "ms at the 99th percentile",
+        formulas.added_p99_680, ("data_path.added_p99",), lambda b: b.added_p99_ms, True, UPSTREAM,
+        Claim("300 ms", lambda ms: ms >= 150),
+    ),
+    Row(
+        "Lists, calls lost at 680 servers", Role.DATA_PATH, Kind.TIME,
+        "measured as above", "% of the calls",
+        formulas.lost_680, ("data_path.lost",), None, True, UPSTREAM,
+        Claim("14% lost", lambda percent: percent >= 7),
+    ),
+    Row(
+        "Lists, calls lost at 680 servers with ports of their own", Role.DATA_PATH, Kind.TIME,
+        "measured as above, each name with a port", "% of the calls",
+        formulas.lost_own_ports_680, ("data_path_own_ports.lost",), None, True, UPSTREAM,
+        Claim("16% lost", lambda percent: percent >= 8),
+    ),
+    Row(
+        "Added time", Role.DATA_PATH, Kind.TIME,
+        "measured at 294 calls a second, ten servers", "ms at the 99th percentile",
+        formulas.added_p99_10, ("data_path.added_p99",), lambda b: b.added_p99_ms, False, EVENT_LOOP,
+        Claim("1.5 to 2.2 ms, over the budget", lambda ms: ms > 0.87),
+    ),
+    Row(
+        "Added time, in the median", Role.DATA_PATH, Kind.TIME,
+        "measured at 294 calls a second, ten servers", "ms",
+        formulas.added_p50_10, ("data_path.added_p50",), None, False, EVENT_LOOP,
+    ),
+    Row(
+        "Added time by part (loop, parse, dial, collector)", Role.DATA_PATH, Kind.TIME,
+        "sum of the parts", "ms",
+        formulas.added_by_part, ("added_by_part",), None, False, EVENT_LOOP,
+    ),
+    Row(
+        "Decisions", Role.DATA_PATH, Kind.PROCESSOR,
+        "calls a second x us a decision at 680 servers", "% of a core",
+        formulas.decision_core, ("decision.cpu",), None, False, BALANCER,
+    ),
+    Row(
+        "Calls, ten servers", Role.DATA_PATH, Kind.PROCESSOR,
+        "calls a second x ms a call at 10 servers", "% of a core",
+        formulas.call_core_10, ("data_path.cpu",), None, False, EVENT_LOOP,
+    ),
+    Row(
+        "Calls, 680 servers", Role.DATA_PATH, Kind.PROCESSOR,
+        "calls a second x ms a call at 680 servers", "% of a core",
+        formulas.call_core_680, ("data_path.cpu",), None, False, EVENT_LOOP,
+    ),
+    Row(
+        "Dials", Role.DATA_PATH, Kind.MESSAGES,
+        "connections made in 6 s at 680 servers / 6", "connections a second",
+        formulas.dials, ("data_path.dials",), None, False, UPSTREAM,
+    ),
+    Row(
+        "State of a server", Role.DATA_PATH, Kind.STATE,
+        "slope of memory by name x 680", "MB",
+        formulas.server_state, ("data_path.memory",), None, False, BALANCER,
+    ),
+    Row(
+        "Memory of a proxy", Role.DATA_PATH, Kind.MEMORY,
+        "measured at 680 servers", "MB resident",
+        formulas.proxy_memory, ("data_path.memory",), None, False, SERVE,
+    ),
+    Row(
+        "Services, memory", Role.DATA_PATH, Kind.MEMORY,
+        "a process for each of 65 services", "MB a host",
+        formulas.services_memory, ("services.memory",), None, False, SERVE,
+        Claim("a process for each service, far over 32 MB", lambda mb: mb > 32 * 10),
+    ),
+    Row(
+        "Services, idle processor time", Role.DATA_PATH, Kind.PROCESSOR,
+        "a process for each of 65 services, no calls, no agreement", "% of a core a host",
+        formulas.services_idle, ("services.idle_cpu",), None, False, SERVE,
+    ),
+    Row(
+        "Depth, added time", Role.DATA_PATH, Kind.TIME,
+        "measured 26 levels deep; budget 26 x 0.87 ms", "ms at the 99th percentile",
+        formulas.depth_added_p99, ("depth.added_p99",), lambda b: 26 * b.added_p99_ms, False, EVENT_LOOP,
+        Claim("26 times the added time, over the budget", lambda ms: ms > 26 * 0.87),
+    ),
+    Row(
+        "Depth, attempts of the first call", Role.DATA_PATH, Kind.MESSAGES,
+        "measured: at a failing leaf 26 levels deep, retry budgets full", "attempts",
+        formulas.depth_first, ("depth.attempts_first",), None, False, RETRY_BUDGET,
+        Claim("(1 + 0.1)^26 = 12 attempts a call", lambda attempts: attempts >= 6),
+    ),
+    Row(
+        "Depth, attempts", Role.DATA_PATH, Kind.MESSAGES,
+        "measured: at a failing leaf 26 levels deep, mean of 40 calls", "attempts a call",
+        formulas.depth_attempts, ("depth.attempts",), None, False, RETRY_BUDGET,
+        Claim("(1 + 0.1)^26 = 12 attempts a call", lambda attempts: attempts >= 6),
+    ),
+    Row(
+        "Depth, deadline left", Role.DATA_PATH, Kind.TIME,
+        "measured: what the leaf 26 levels deep is told of 2,000 ms", "ms",
+        formulas.depth_left, ("depth.left",), None, False, DEADLINE,
+    ),
+    Row(
+        "Depth, told refused", Role.DATA_PATH, Kind.MESSAGES,
+        "measured: calls answered 503 at the top while the leaf fails", "% of the calls",
+        formulas.depth_refused, ("depth.told_refused",), None, True, RETRY_BUDGET,
+    ),
+)  # fmt: skip
+
+CONTROL_PART = (
+    Row(
+        "Leases, bytes", Role.CONTROL_PART, Kind.MESSAGES,
+        "2 x 5 control machines x 4 / lease x bytes of a datagram, both ways", "bytes a second",
+        formulas.proxy_bytes, ("agreement.proxy_bytes",), lambda b: b.control_bytes_per_s, False, LEASE,
+    ),
+    Row(
+        "Leases, processor time", Role.CONTROL_PART, Kind.PROCESSOR,
+        "5 x 4 / lease x us of a verification", "of a core",
+        formulas.verify_core, ("signature.verify", "agreement.proxy_datagrams"), lambda b: b.control_core,
+        False, SIGNATURES,
+    ),
+    Row(
+        "Control part, processor time, by paired runs", Role.CONTROL_PART, Kind.PROCESSOR,
+        "serve with control - serve without", "of a core",
+        formulas.control_core, ("control_part_core",), lambda b: b.control_core, False, SIGNATURES,
+    ),
+    Row(
+        "Control part, bytes, by paired runs", Role.CONTROL_PART, Kind.MESSAGES,
+        "agreement, gossip and discovery together", "bytes a second",
+        formulas.control_bytes, ("control_part_bytes",), lambda b: b.control_bytes_per_s, False, LEASE,
+    ),
+    Row(
+        "Lists, reading a change", Role.CONTROL_PART, Kind.TIME,
+        "ms that the event loop stands still, twice a change", "ms",
+        formulas.read_ms, ("list.policy_read",), None, False, READING,
+        Claim("28 ms", lambda ms: ms >= 20),
+    ),
+    Row(
+        "Lists, added by reading at the crowded hour", Role.CONTROL_PART, Kind.TIME,
+        "read x (1 - 0.01 / share of time), share = 2 x read x 20 / 60 s", "ms at the 99th percentile",
+        formulas.read_p99_crowded, ("list.policy_read",), lambda b: b.added_p99_ms, False, READING,
+    ),
+    Row(
+        "Lists, added by reading over the day", Role.CONTROL_PART, Kind.TIME,
+        "the same, share = 2 x read x 1,600 / 86,400 s", "ms at the 99th percentile",
+        formulas.read_p99_day, ("list.policy_read",), lambda b: b.added_p99_ms, False, READING,
+    ),
+    Row(
+        "Lists, processor time of reading at the crowded hour", Role.CONTROL_PART, Kind.PROCESSOR,
+        "2 x read x 20 / 60 s", "of a core",
+        formulas.read_core_crowded, ("list.policy_read",), lambda b: b.control_core, False, READING,
+    ),
+    Row(
+        "Lists, processor time of reading over the day", Role.CONTROL_PART, Kind.PROCESSOR,
+        "2 x read x 1,600 / 86,400 s", "of a core",
+        formulas.read_core_day, ("list.policy_read",), lambda b: b.control_core, False, READING,
+    ),
+    Row(
+        "Lists, bytes fetched at the crowded hour", Role.CONTROL_PART, Kind.MESSAGES,
+        "bytes of the file x 20 / 60 s", "bytes a second",
+        formulas.fetch_bytes_crowded, ("list.policy_bytes",), lambda b: b.control_bytes_per_s, False, STORE,
+    ),
+    Row(
+        "Services, control processor time", Role.CONTROL_PART, Kind.PROCESSOR,
+        "65 processes x leases' processor time", "of a core",
+        formulas.services_control_core, ("signature.verify", "agreement.proxy_datagrams"),
+        lambda b: b.control_core, False, SERVE,
+    ),
+    Row(
+        "Services, control bytes", Role.CONTROL_PART, Kind.MESSAGES,
+        "65 processes x leases' bytes", "bytes a second",
+        formulas.services_control_bytes, ("agreement.proxy_bytes",), lambda b: b.control_bytes_per_s, False,
+        SERVE,
+    ),
+    Row(
+        "Control part, memory", Role.CONTROL_PART, Kind.MEMORY,
+        "serve with a vote and 34 instances - serve with a watched list", "MB",
+        formulas.control_memory, ("control_machine.memory", "services.memory"), lambda b: b.control_mb,
+        False, SERVE,
+    ),
+    Row(
+        "Services, control memory", Role.CONTROL_PART, Kind.MEMORY,
+        "65 x the row above", "MB a host",
+        formulas.services_control_memory, ("control_machine.memory", "services.memory"),
+        lambda b: b.control_mb, False, SERVE,
+    ),
+    Row(
+        "Gossip", Role.CONTROL_PART, Kind.STATE,
+        "679 others / members that a table holds", "times the table",
+        formulas.gossip_table, ("gossip_table.held",), lambda b: 1.0, False, GOSSIP_TABLE,
+        Claim("the table holds 256, fewer than the fleet", lambda times: times > 1),
+    ),
+    Row(
+        "Gossip, bytes at 680", Role.CONTROL_PART, Kind.MESSAGES,
+        "bounded by `bytes_per_s` (8 KiB)", "bytes a second",
+        formulas.gossip_bytes, ("gossip_bytes_680",), lambda b: b.control_bytes_per_s, False, GOSSIP_TABLE,
+    ),
+)  # fmt: skip
+
+CONTROL_MACHINE = (
+    Row(
+        "Leases granted", Role.CONTROL_MACHINE, Kind.MESSAGES,
+        "instances x 4 / lease, received and sent", "datagrams a second",
+        formulas.grants, ("agreement.control_received", "agreement.control_sent"), None, False, LEASE,
+    ),
+    Row(
+        "Leases granted, bytes", Role.CONTROL_MACHINE, Kind.MESSAGES,
+        "datagrams x bytes, both ways", "bytes a second",
+        formulas.control_machine_bytes, ("control_machine.bytes",), None, False, LEASE,
+    ),
+    Row(
+        "Leases granted, processor time", Role.CONTROL_MACHINE, Kind.PROCESSOR,
+        "measured: slope x instances", "of a core",
+        formulas.control_machine_core, ("control_machine.cpu",), lambda b: b.control_machine_core, False,
+        SIGNATURES,
+    ),
+    Row(
+        "Memory of a control machine", Role.CONTROL_MACHINE, Kind.MEMORY,
+        "measured at 680 instances", "MB",
+        formulas.control_machine_memory, ("control_machine.memory",), None, False, STORE,
+    ),
+    Row(
+        "Versions kept", Role.CONTROL_MACHINE, Kind.STATE,
+        "20 bodies x bytes of the file", "MB on disk",
+        formulas.versions_kept, ("list.policy_bytes",), None, False, STORE,
+    ),
+    Row(
+        "Datagrams at once", Role.CONTROL_MACHINE, Kind.MESSAGES,
+        "measured: of 680 that come while the loop is busy", "% lost, asked again later",
+        formulas.burst_lost, ("burst.lost",), None, False, RECEIVE_BUFFER,
+    ),
+    Row(
+        "Force within 3 s", Role.CONTROL_MACHINE, Kind.TIME,
+        "change + lease / (1 - 0.05) + 2 x (read - 5 ms)", "ms",
+        formulas.force, ("lease.last", "list.policy_read"), lambda b: b.in_force_ms, False, LEASE,
+        Claim("3.16 s, over the budget", lambda ms: ms > 3000),
+    ),
+    Row(
+        "Force within 3 s, a third down", Role.CONTROL_MACHINE, Kind.TIME,
+        "the same, those who were heard just now are waited for", "ms",
+        formulas.force_third_down, ("change.third_down_last", "list.policy_read"), lambda b: b.in_force_ms,
+        False, LEASE,
+        Claim("1.5 s more", lambda ms: ms > 4500),
+    ),
+    Row(
+        "Force within 3 s, lease of 1,500 ms", Role.CONTROL_MACHINE, Kind.TIME,
+        "as above with a lease of 1,500 ms", "ms",
+        formulas.force_short_lease, ("lease.last", "list.policy_read"), lambda b: b.in_force_ms, False, LEASE,
+    ),
+    Row(
+        "Force within 3 s, lease of 1,500 ms: datagrams", Role.CONTROL_MACHINE, Kind.MESSAGES,
+        "instances x 4 / lease, received and sent", "datagrams a second",
+        formulas.grants_short_lease, ("lease.control_received", "lease.control_sent"), None, False, LEASE,
+    ),
+    Row(
+        "Force within 3 s, lease of 1,500 ms: signatures", Role.CONTROL_MACHINE, Kind.PROCESSOR,
+        "datagrams sent x us of a signature", "of a core",
+        formulas.signatures_short_lease, ("lease.control_sent", "signature.sign"),
+        lambda b: b.control_machine_core, False, SIGNATURES,
+    ),
+    Row(
+        "Regions", Role.CONTROL_MACHINE, Kind.TIME,
+        "length of the cut - lease, in a region without a majority", "s in which every call is refused",
+        formulas.region_refused, ("region_refused_s",), None, True, ONE_GROUP,
+        Claim("a region without a majority refuses everything for minutes", lambda s: s >= 60),
+    ),
+    Row(
+        "Change, real instances, last that is up", Role.CONTROL_MACHINE, Kind.TIME,
+        "measured at 680 instances", "ms",
+        formulas.change_real, ("change_last_ms_680",), lambda b: b.in_force_ms, False, FAN_OUT,
+    ),
+)  # fmt: skip
+
+AUTHOR = (
+    Row(
+        "Authors, two at once", Role.AUTHOR, Kind.MESSAGES,
+        "measured: proposals a decided change", "proposals",
+        formulas.tries_two, ("authors.tries",), None, False, BALLOTS,
+        Claim("outvote each other", lambda tries: tries > 1),
+    ),
+    Row(
+        "Authors, five at once", Role.AUTHOR, Kind.MESSAGES,
+        "measured: proposals a decided change", "proposals",
+        formulas.tries_five, ("authors.tries",), None, False, BALLOTS,
+    ),
+    Row(
+        "Authors, overtaken files", Role.AUTHOR, Kind.TIME,
+        "20 wished a minute / decided a minute, five authors of 30 s work each", "times too few",
+        formulas.overtaken, ("overtaken.decided",), lambda b: 1.0, False, AFTER,
+        Claim("spoil each other's", lambda times: times > 1),
+    ),
+    Row(
+        "Change, datagrams at the control machines", Role.AUTHOR, Kind.MESSAGES,
+        "slope by changes a minute x 60 x 5, checks, votes and new leases", "datagrams a change",
+        formulas.change_datagrams, ("changes.control_sent", "changes.control_received"), None, False, FAN_OUT,
+    ),
+    Row(
+        "Change, standstill of its author", Role.AUTHOR, Kind.TIME,
+        "680 datagrams signed in one turn of the event loop", "ms, twice a change",
+        formulas.author_block, ("signature.sign",), None, False, FAN_OUT,
+    ),
+    Row(
+        "Change, processor time of its author", Role.AUTHOR, Kind.PROCESSOR,
+        "(2 x 680 signatures + 2 reads) x 20 / 60 s", "of a core",
+        formulas.author_core, ("signature.sign", "list.policy_read"), lambda b: b.control_machine_core, False,
+        FAN_OUT,
+    ),
+    Row(
+        "File of a change", Role.AUTHOR, Kind.STATE,
+        "bytes of the file, 680 servers", "bytes",
+        formulas.policy_bytes, ("list.policy_bytes",), None, False, READING,
+    ),
+    Row(
+        "Memory of an author", Role.AUTHOR, Kind.MEMORY,
+        "measured while it makes a change", "MB",
+        formulas.author_memory, ("author_memory",), None, False, FAN_OUT,
+    ),
+)  # fmt: skip
+
+DISCOVERY = (
+    Row(
+        "Whole list, bytes", Role.DISCOVERY, Kind.STATE,
+        "bytes of the message, 680 servers", "bytes",
+        formulas.discovery_bytes, ("list.discovery_bytes",), None, False, DIRECTORY,
+    ),
+    Row(
+        "Whole lists for a zone that comes back", Role.DISCOVERY, Kind.MESSAGES,
+        "113 instances x bytes of the message", "MB",
+        formulas.zone_lists, ("list.discovery_bytes",), None, False, DIRECTORY,
+    ),
+    Row(
+        "Whole list, reading and applying it", Role.DISCOVERY, Kind.PROCESSOR,
+        "ms of the event loop, 680 servers", "ms",
+        formulas.discovery_ms, ("list.discovery_read", "list.apply"), None, False, DIRECTORY,
+    ),
+    Row(
+        "Memory of discovery's service", Role.DISCOVERY, Kind.MEMORY,
+        "not part of this program", "MB",
+        formulas.discovery_memory, ("discovery_memory",), None, False, DIRECTORY,
+    ),
+)  # fmt: skip
+
+ROLLOUT_DRIVER = (
+    Row(
+        "Rollout, the agreed file", Role.ROLLOUT, Kind.STATE,
+        "the old file and the new one within it", "bytes",
+        formulas.rollout_bytes, ("rollout_bytes",), None, False, ROLLOUT,
+    ),
+    Row(
+        "Rollout, counts told", Role.ROLLOUT, Kind.MESSAGES,
+        "instances x 5 / gap between two counts", "datagrams a second at a control machine",
+        formulas.rollout_messages, ("rollout_messages",), None, False, ROLLOUT,
+    ),
+    Row(
+        "Rollout, judging", Role.ROLLOUT, Kind.PROCESSOR,
+        "instances x us a count", "of a core",
+        formulas.rollout_core, ("rollout_core",), None, False, ROLLOUT,
+    ),
+    Row(
+        "Rollout, memory", Role.ROLLOUT, Kind.MEMORY,
+        "measured at the driver", "MB",
+        formulas.rollout_memory, ("rollout_memory",), None, False, ROLLOUT,
+    ),
+)  # fmt: skip
+
+ROWS: tuple[Row, ...] = (
+    *DATA_PATH, *CONTROL_PART, *CONTROL_MACHINE, *AUTHOR, *DISCOVERY, *ROLLOUT_DRIVER,
+)  # fmt: skip
