Take figures of scale runs into the capacity page's slopes

Need: rows of the control part, and most failures, rest on runs of 680 hollow instances, which are made apart.

--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -122,6 +122,14 @@
     return slopes.run("control_part_core")
 
 
+def control_core_crowded(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.run("control_part_core_crowded")
+
+
+def control_part_memory(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.run("control_part_memory")
+
+
 def control_bytes(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.run("control_part_bytes")
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -151,6 +151,17 @@
         "serve with control - serve without", "of a core",
         formulas.control_core, ("control_part_core",), lambda b: b.control_core, False, SIGNATURES,
     ),
+    Row(
+        "Control part, processor time at the crowded hour, by paired runs", Role.CONTROL_PART, Kind.PROCESSOR,
+        "serve with control - serve without, 20 changes a minute", "of a core",
+        formulas.control_core_crowded, ("control_part_core_crowded",), lambda b: b.control_core, False,
+        READING,
+    ),
+    Row(
+        "Control part, memory, by paired runs", Role.CONTROL_PART, Kind.MEMORY,
+        "serve with control - serve without", "MB",
+        formulas.control_part_memory, ("control_part_memory",), lambda b: b.control_mb, False, SERVE,
+    ),
     Row(
         "Control part, bytes, by paired runs", Role.CONTROL_PART, Kind.MESSAGES,
         "agreement, gossip and discovery together", "bytes a second",
--- /dev/null
+++ b/tests/capacity/test_scale_report.py
@@ -0,0 +1,85 @@
+"""What is taken from a scale run's report."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from benchmarks.capacity import __main__ as command
+from benchmarks.capacity.failures import FAILURES
+from benchmarks.capacity.rows import ROWS
+from benchmarks.capacity.scale_report import SOURCES, ReportError, runs_of
+
+
+def figure(name: str, role: str, value: float) -> dict[str, Any]:
+    return {"name": name, "role": role, "unit": "", "least": value / 2, "median": value, "most": 2 * value}
+
+
+def report(**changed: Any) -> dict[str, Any]:
+    quiet = {
+        "name": "quiet",
+        "kind": "quiet",
+        "figures": [figure("processor time", "real instance, control alone", 0.5)],
+        "without_lease": {},
+    }
+    cut = {
+        "name": "region-cut",
+        "kind": "region-cut",
+        "figures": [],
+        "without_lease": {
+            "east": figure("without a lease", "hollow follower", 0.0),
+            "west": figure("without a lease", "hollow follower", 88.0),
+        },
+    }
+    busy = {
+        "name": "crowded",
+        "kind": "changes",
+        "figures": [figure("change in force everywhere", "", 1.2)],
+        "without_lease": {},
+    }
+    made = {"plan": "two-years", "outcome": "passed", "why": "", "instances": 680, "days": [quiet, busy, cut]}
+    return made | changed
+
+
+def test_figures_are_taken_in_the_slopes_units() -> None:
+    found = runs_of(report(), 680, "the command")
+    assert set(found) == {"control_part_core", "region_refused_s", "change_last_ms_680"}
+    assert found["control_part_core"] == {"command": "the command", "unit": "of a core", "value": 0.005}
+    assert found["region_refused_s"]["value"] == 176.0
+    assert found["change_last_ms_680"]["value"] == 1200.0
+
+
+def test_a_day_with_losses_is_not_taken_for_one_without() -> None:
+    troubled = {**report()["days"][1], "name": "crowded-troubled"}
+    found = runs_of(report(days=[troubled]), 680, "the command")
+    assert found == {"loss_change_s": {"command": "the command", "unit": "s", "value": 2.4}}
+
+
+@pytest.mark.parametrize("changed", [{"outcome": "refused", "why": "too busy"}, {"instances": 25}])
+def test_runs_that_show_nothing_are_refused(changed: dict[str, Any]) -> None:
+    with pytest.raises(ReportError, match="two-years"):
+        runs_of(report(**changed), 680, "the command")
+
+
+def test_every_source_is_needed_by_a_row_or_a_failure() -> None:
+    needed = {name for row in ROWS for name in row.needs}
+    needed |= {name for failure in FAILURES for name in failure.needs}
+    assert {source.run for source in SOURCES} <= needed
+
+
+def test_the_command_takes_runs_and_series_into_the_slopes(tmp_path: Path) -> None:
+    slopes, told, series = tmp_path / "slopes.json", tmp_path / "report.json", tmp_path / "series.json"
+    slopes.write_text(
+        json.dumps({"series": {}, "runs": {}, "not_measured": {"control_part_core": "due", "new.a": "due"}})
+    )
+    told.write_text(json.dumps(report()))
+    series.write_text(json.dumps({"series": {"old.a": {"command": "run"}, "other.b": {"command": "run"}}}))
+    command.take_runs(slopes, [told], "abc")
+    command.merge(slopes, [series], ["old", "new"], "abc")
+    kept = json.loads(slopes.read_text())
+    assert kept["not_measured"] == {}
+    assert kept["runs"]["control_part_core"]["command"].endswith("two-years.toml (on abc)")
+    assert kept["series"] == {"new.a": {"command": "run (on abc)"}, "other.b": {"command": "run (on abc)"}}
