--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from benchmarks.capacity.plan import Sizes
+from benchmarks.capacity.plan import BUDGETS, Sizes
 from benchmarks.capacity.slopes import Slopes
 
 READS_A_CHANGE = 2  # when it is asked whether it can take it, and when it prepares it
@@ -235,6 +235,16 @@
     return change_ms + overlap_ms(SHORT_LEASE_MS) + reading_added_ms(sizes, slopes)
 
 
+def fitting_lease(sizes: Sizes, slopes: Slopes) -> float:
+    """The longest lease, in ms, with which a change is in force within the budget, a third down."""
+    change_ms = slopes.at("change.third_down_last", sizes.hosts) + reading_added_ms(sizes, slopes)
+    return (BUDGETS.in_force_ms - change_ms) * (1.0 - CLOCK_ERROR)
+
+
+def fitting_lease_core(sizes: Sizes, slopes: Slopes) -> float:
+    return control_machine_core(sizes, slopes) * sizes.lease_ms / fitting_lease(sizes, slopes)
+
+
 def grants_short_lease(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.at("lease.control_received", SHORT_LEASE_MS) + slopes.at(
         "lease.control_sent", SHORT_LEASE_MS
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -296,6 +296,17 @@
         formulas.signatures_short_lease, ("lease.control_sent", "signature.sign"),
         lambda b: b.control_machine_core, False, SIGNATURES,
     ),
+    Row(
+        "Force within 3 s, the lease that fits with a third down", Role.CONTROL_MACHINE, Kind.TIME,
+        "(3,000 ms - change - 2 x (read - 5 ms)) x 0.95", "ms",
+        formulas.fitting_lease, ("change.third_down_last", "list.policy_read"), None, False, LEASE,
+    ),
+    Row(
+        "Force within 3 s, that lease: processor time", Role.CONTROL_MACHINE, Kind.PROCESSOR,
+        "measured at 3,000 ms x 3,000 / that lease", "of a core",
+        formulas.fitting_lease_core, ("control_machine.cpu", "change.third_down_last", "list.policy_read"),
+        lambda b: b.control_machine_core, False, SIGNATURES,
+    ),
     Row(
         "Regions", Role.CONTROL_MACHINE, Kind.TIME,
         "length of the cut - lease, in a region without a majority", "s in which every call is refused",
--- a/tests/capacity/test_formulas.py
+++ b/tests/capacity/test_formulas.py
@@ -46,6 +46,17 @@
     assert formulas.force_short_lease(SIZES, made) == pytest.approx(50 + 1500 / 0.95 + 2 * 50)
 
 
+def test_the_lease_that_fits_with_a_third_down_and_its_cost() -> None:
+    made = slopes(
+        change__third_down_last=series({680: 1540.0}),
+        list__policy_read=series({680: 55.0}),
+        control_machine__cpu=series({680: 0.2}),
+    )
+    fitting_ms = (3000 - 1540 - 2 * 50) * 0.95
+    assert formulas.fitting_lease(SIZES, made) == pytest.approx(fitting_ms)
+    assert formulas.fitting_lease_core(SIZES, made) == pytest.approx(0.2 * 3000 / fitting_ms)
+
+
 def test_leases_cost_a_proxy_one_verification_an_answer() -> None:
     made = slopes(agreement__proxy_datagrams=series({680: 40.0 / 3}), signature__verify=series({128: 150.0}))
     assert formulas.verify_core(SIZES, made) == pytest.approx(20 / 3 * 150e-6)
