Tell a power law on the capacity page where it fits far better than a line

Need: a line through leases of 1.5 to 30 s misses by 63%, as the load goes with the inverse of the lease.

--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -118,6 +118,10 @@
     return answers_per_s * slopes.at("signature.verify", ASKED_BYTES) / 1e6
 
 
+def verify_us(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("signature.verify", ASKED_BYTES)
+
+
 def control_core(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.run("control_part_core")
 
@@ -191,6 +195,10 @@
     )
 
 
+def sign_us(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("signature.sign", ASKED_BYTES)
+
+
 def control_machine_bytes(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.at("control_machine.bytes", sizes.hosts)
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -146,6 +146,12 @@
         formulas.verify_core, ("signature.verify", "agreement.proxy_datagrams"), lambda b: b.control_core,
         False, SIGNATURES,
     ),
+    Row(
+        "Verification of one answer", Role.CONTROL_PART, Kind.PROCESSOR,
+        "measured, 128 bytes", "us",
+        formulas.verify_us, ("signature.verify",), None, False, SIGNATURES,
+        Claim("170 us, on a machine whose speed changes by half", lambda us: 85 <= us <= 340),
+    ),
     Row(
         "Control part, processor time, by paired runs", Role.CONTROL_PART, Kind.PROCESSOR,
         "serve with control - serve without", "of a core",
@@ -252,6 +258,12 @@
         formulas.control_machine_core, ("control_machine.cpu",), lambda b: b.control_machine_core, False,
         SIGNATURES,
     ),
+    Row(
+        "Signature of one answer", Role.CONTROL_MACHINE, Kind.PROCESSOR,
+        "measured, 128 bytes", "us",
+        formulas.sign_us, ("signature.sign",), None, False, SIGNATURES,
+        Claim("50 us, on a machine whose speed changes by half", lambda us: 25 <= us <= 100),
+    ),
     Row(
         "Memory of a control machine", Role.CONTROL_MACHINE, Kind.MEMORY,
         "measured at 680 instances", "MB",
--- a/benchmarks/capacity/slopes.py
+++ b/benchmarks/capacity/slopes.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 Json = dict[str, Any]
+POWER_GAIN = 0.5  # a power law is told in place of the line if it misses by less than this share of it
 
 
 class MissingSlope(KeyError):
@@ -85,7 +86,9 @@
         if name in self.runs:
             return f"{name}: {self.run(name):.4g} {self.runs[name]['unit']}"
         series = self._series(name)
-        line, bend = series["fit"]["line"], series["fit"]["bend"]
+        line, power, bend = (series["fit"][key] for key in ("line", "power", "bend"))
+        if power is not None and power["error"] < POWER_GAIN * line["error"]:
+            return f"{name}: ~ size^{power['exponent']:.2f}, error {power['error']:.0%}"
         text = f"{name}: {line['slope']:.3g} ± {line['slope_error']:.2g} by {series['axis'].split(',')[0]}"
         text += f", error {line['error']:.0%}"
         if bend is not None:
--- a/tests/capacity/test_formulas.py
+++ b/tests/capacity/test_formulas.py
@@ -82,6 +82,15 @@
     assert formulas.fetch_bytes_crowded(SIZES, made) == pytest.approx(20_000.0)
 
 
+def test_a_power_law_is_told_where_it_fits_far_better_than_the_line() -> None:
+    entry = series({10: 1.0})
+    entry["fit"]["line"]["error"] = 0.6
+    entry["fit"]["power"] = {"factor": 1.0, "exponent": -1.0, "error": 0.01}
+    assert slopes(a__b=entry).described("a.b") == "a.b: ~ size^-1.00, error 1%"
+    entry["fit"]["power"]["error"] = 0.5
+    assert slopes(a__b=entry).described("a.b").startswith("a.b: 0 ± 0 by size, error 60%")
+
+
 def test_slopes_by_size_and_by_line() -> None:
     made = slopes(a__b=series({10: 1.0, 20: 2.0}, slope=0.5, intercept=3.0))
     assert made.at("a.b", 10) == 1.0
