Measure a rollout's file, counts and judgement over the instances

Need: the driver's rows of the capacity page had no run behind them.

Change: the cost rollout (file with 680 servers, reading it, adding up counts, judging, memory), its rows and formulas.

--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -16,6 +16,8 @@
 TRIAL_S = 6.0  # of the data path: a second of warm-up and five that count
 EDIT_S = 30
 TOLD_SHARE = 0.01  # of the calls lie beyond the 99th percentile
+COUNTS_A_SECOND = 1.0  # `WINDOW_S` of rollout/carried
+FRAME_BYTES = 112  # sender, signature, seal, IP and UDP
 MB = 1_000_000.0
 
 
@@ -331,16 +333,26 @@
 
 
 def rollout_bytes(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.run("rollout_bytes")
+    return slopes.at("rollout.file", sizes.hosts)
+
+
+def rollout_read(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("rollout.read", sizes.hosts)
 
 
 def rollout_messages(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.run("rollout_messages")
+    return sizes.hosts * COUNTS_A_SECOND
+
+
+def rollout_proxy_bytes(sizes: Sizes, slopes: Slopes) -> float:
+    datagram_bytes = slopes.at("rollout.count_bytes", sizes.hosts) + FRAME_BYTES
+    return sizes.control_machines * COUNTS_A_SECOND * datagram_bytes
 
 
 def rollout_core(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.run("rollout_core")
+    counts_s = sizes.hosts * COUNTS_A_SECOND * slopes.at("rollout.count", sizes.hosts) / 1e6
+    return counts_s + slopes.at("rollout.judge", sizes.hosts) / 1e3
 
 
 def rollout_memory(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.run("rollout_memory")
+    return slopes.at("rollout.memory", sizes.hosts)
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -404,23 +404,35 @@
 ROLLOUT_DRIVER = (
     Row(
         "Rollout, the agreed file", Role.ROLLOUT, Kind.STATE,
-        "the old file and the new one within it", "bytes",
-        formulas.rollout_bytes, ("rollout_bytes",), None, False, ROLLOUT,
+        "the old file and the new one within it, 680 servers", "bytes",
+        formulas.rollout_bytes, ("rollout.file",), None, False, ROLLOUT,
+    ),
+    Row(
+        "Rollout, reading the agreed file", Role.ROLLOUT, Kind.TIME,
+        "ms that each instance's event loop stands still, twice a stage", "ms",
+        formulas.rollout_read, ("rollout.read",), None, False, READING,
     ),
     Row(
         "Rollout, counts told", Role.ROLLOUT, Kind.MESSAGES,
-        "instances x 5 / gap between two counts", "datagrams a second at a control machine",
-        formulas.rollout_messages, ("rollout_messages",), None, False, ROLLOUT,
+        "instances x 1 a second", "datagrams a second at a control machine",
+        formulas.rollout_messages, ("rollout.count_bytes",), None, False, ROLLOUT,
+    ),
+    Row(
+        "Rollout, counts told, bytes", Role.CONTROL_PART, Kind.MESSAGES,
+        "5 control machines x 1 a second x (bytes + 112 of the frame)", "bytes a second",
+        formulas.rollout_proxy_bytes, ("rollout.count_bytes",), lambda b: b.control_bytes_per_s, False,
+        ROLLOUT,
     ),
     Row(
         "Rollout, judging", Role.ROLLOUT, Kind.PROCESSOR,
-        "instances x us a count", "of a core",
-        formulas.rollout_core, ("rollout_core",), None, False, ROLLOUT,
+        "instances x us a count + ms a second's judgement", "of a core",
+        formulas.rollout_core, ("rollout.count", "rollout.judge"), lambda b: b.control_machine_core, False,
+        ROLLOUT,
     ),
     Row(
         "Rollout, memory", Role.ROLLOUT, Kind.MEMORY,
-        "measured at the driver", "MB",
-        formulas.rollout_memory, ("rollout_memory",), None, False, ROLLOUT,
+        "measured at the driver, ten seconds of 120 kept", "MB",
+        formulas.rollout_memory, ("rollout.memory",), None, False, ROLLOUT,
     ),
 )  # fmt: skip
 
--- a/benchmarks/scale/catalogue.py
+++ b/benchmarks/scale/catalogue.py
@@ -13,6 +13,7 @@
     gossip_table,
     lists,
     overtaken,
+    rollout,
     services,
     signatures,
 )
@@ -32,6 +33,7 @@
     burst.COST,
     authors.COST,
     overtaken.COST,
+    rollout.COST,
     gossip_table.COST,
     data_path_cost.SHARED,
     data_path_cost.OWN_PORTS,
--- /dev/null
+++ b/benchmarks/scale/rollout.py
@@ -0,0 +1,96 @@
+"""A rollout in stages over the instances: its file, the reading of it, and what its driver does each second.
+
+Each instance tells each control machine once a second what it has counted; the driver adds it up and judges.
+The decisions alone, without sockets; the file lists 680 servers, and half of the instances go by the new
+policy."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+
+from benchmarks.scale.cost import Cost, Quantity, Readings
+from benchmarks.scale.lists import CLASS, policy_file
+from cedarcross.agreement.words import Tally, encode
+from cedarcross.config.models import RolloutTable
+from cedarcross.config.policy import read_policy
+from cedarcross.rollout.carried import plan_of, state_of
+from cedarcross.rollout.driver import Driver
+from cedarcross.rollout.file import old_of, with_rollout
+from cedarcross.rollout.tally import Tallies, Told
+
+INSTANCES = (34, 68, 136, 340, 680)
+SERVERS = 680
+SECONDS = 10
+ZONES = 6
+CALLS_A_SECOND = 294
+
+
+def rollout_table(instances: int, servers: int) -> RolloutTable:
+    return RolloutTable(
+        name="rollout",
+        new=old_of(policy_file(servers).decode()),
+        stage=2,
+        members=tuple(range(instances // 2)),
+        warm_s=0.0,
+    )
+
+
+def _play(instances: int, table: RolloutTable, seconds: int) -> tuple[float, float]:
+    """Processor seconds for one instance's count to be added up, and for a second to be judged."""
+    tallies = Tallies()
+    driver = Driver(plan_of(table), state_of(table), [CLASS.name], 0.0, [])
+    zones = {member: f"zone-{member % ZONES}" for member in range(instances)}
+    told_s = judged_s = 0.0
+    for second in range(1, seconds + 1):
+        begin_s = time.process_time()
+        for member, zone in zones.items():
+            tallies.told(member, zone, Told(1, 1, {CLASS.name: (CALLS_A_SECOND * second, second)}))
+        counted_s = time.process_time()
+        driver.window(float(second), tallies.close(), 1.0, zones)
+        told_s += counted_s - begin_s
+        judged_s += time.process_time() - counted_s
+    return told_s / seconds / instances, judged_s / seconds
+
+
+def _memory_mb(instances: int, table: RolloutTable, seconds: int) -> float:
+    tracemalloc.start()
+    try:
+        _play(instances, table, seconds)
+        return tracemalloc.get_traced_memory()[1] / 1e6
+    finally:
+        tracemalloc.stop()
+
+
+def measure(instances: int, servers: int = SERVERS, seconds: int = SECONDS) -> Readings:
+    table = rollout_table(instances, servers)
+    content = with_rollout(policy_file(servers).decode(), table).encode()
+    begin_s = time.process_time()
+    read_policy(content, "the policy")
+    read_s = time.process_time() - begin_s
+    told_s, judged_s = _play(instances, table, seconds)
+    return {
+        "file": float(len(content)),
+        "read": 1e3 * read_s,
+        "count_bytes": float(len(encode(Tally(1, 1, "zone-1", {CLASS.name: (10**6, 10**3)})))),
+        "count": 1e6 * told_s,
+        "judge": 1e3 * judged_s,
+        "memory": _memory_mb(instances, table, seconds),
+    }
+
+
+COST = Cost(
+    name="rollout",
+    axis="instances",
+    sizes=INSTANCES,
+    basis="processor time",
+    quantities=(
+        Quantity("file", "bytes"),
+        Quantity("read", "ms"),
+        Quantity("count_bytes", "bytes"),
+        Quantity("count", "us"),
+        Quantity("judge", "ms a second"),
+        Quantity("memory", "MB, ten seconds"),
+    ),
+    measure=measure,
+)
--- a/tests/capacity/test_formulas.py
+++ b/tests/capacity/test_formulas.py
@@ -82,6 +82,15 @@
     assert formulas.fetch_bytes_crowded(SIZES, made) == pytest.approx(20_000.0)
 
 
+def test_a_rollouts_counts_and_judgement() -> None:
+    made = slopes(
+        rollout__count=series({680: 5.0}), rollout__judge=series({680: 10.0}),
+        rollout__count_bytes=series({680: 38.0}),
+    )  # fmt: skip
+    assert formulas.rollout_core(SIZES, made) == pytest.approx(680 * 5e-6 + 0.010)
+    assert formulas.rollout_proxy_bytes(SIZES, made) == pytest.approx(5 * 150)
+
+
 def test_a_power_law_is_told_where_it_fits_far_better_than_the_line() -> None:
     entry = series({10: 1.0})
     entry["fit"]["line"]["error"] = 0.6
--- a/tests/scale_costs/test_costs.py
+++ b/tests/scale_costs/test_costs.py
@@ -16,6 +16,7 @@
     gossip_table,
     lists,
     overtaken,
+    rollout,
     services,
     signatures,
 )
@@ -87,6 +88,12 @@
     assert 0.0 < found["refused"] < 1.0
 
 
+def test_a_rollouts_file_holds_two_policies() -> None:
+    found = rollout.measure(34, servers=10, seconds=2)
+    check(rollout.COST, found)
+    assert found["file"] > 2 * len(lists.POLICY) and found["count"] > 0
+
+
 def test_a_burst_that_the_port_can_keep() -> None:
     found = burst.measure(34)
     check(burst.COST, found)
