--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -88,8 +88,16 @@
     return 100.0 * slopes.at("services.idle_cpu", sizes.services)
 
 
-def depth_added_p99(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.at("depth.added_p99", sizes.levels)
+def depth_added_most(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("depth.added_most", sizes.levels)
+
+
+def depth_added_p50(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("depth.added_p50", sizes.levels)
+
+
+def depth_late(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("depth.late", sizes.levels)
 
 
 def depth_first(sizes: Sizes, slopes: Slopes) -> float:
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -106,10 +106,20 @@
     ),
     Row(
         "Depth, added time", Role.DATA_PATH, Kind.TIME,
-        "measured 26 levels deep; budget 26 x 0.87 ms", "ms at the 99th percentile",
-        formulas.depth_added_p99, ("depth.added_p99",), lambda b: 26 * b.added_p99_ms, False, EVENT_LOOP,
+        "measured 26 levels deep; budget 26 x 0.87 ms", "ms, slowest of 40 calls",
+        formulas.depth_added_most, ("depth.added_most",), lambda b: 26 * b.added_p99_ms, False, EVENT_LOOP,
         Claim("26 times the added time, over the budget", lambda ms: ms > 26 * 0.87),
     ),
+    Row(
+        "Depth, added time in the median", Role.DATA_PATH, Kind.TIME,
+        "measured 26 levels deep", "ms",
+        formulas.depth_added_p50, ("depth.added_p50",), None, False, EVENT_LOOP,
+    ),
+    Row(
+        "Depth, the load's own lateness", Role.DATA_PATH, Kind.TIME,
+        "how late a call was sent at most while the rows above were measured", "ms",
+        formulas.depth_late, ("depth.late",), None, False, EVENT_LOOP,
+    ),
     Row(
         "Depth, attempts of the first call", Role.DATA_PATH, Kind.MESSAGES,
         "measured: at a failing leaf 26 levels deep, retry budgets full", "attempts",
--- a/benchmarks/scale/depth.py
+++ b/benchmarks/scale/depth.py
@@ -140,7 +140,7 @@
     return {
         "served": sum(answer.status == 200 for answer in well.answers) / calls,
         "added_p50": took.p50 - direct.p50,
-        "added_p99": took.p99 - direct.p99,
+        "added_most": took.most - direct.most,
         "left": mean(well.left_ms) if well.left_ms else 0.0,
         "attempts": mean(attempts),
         "attempts_first": float(attempts[0]),
@@ -149,6 +149,7 @@
         "told_error": sum(count for status, count in statuses.items() if status >= 500) / calls
         - statuses[REFUSED] / calls,
         "unanswered": statuses[0] / calls,
+        "late": quantiles([answer.late_ms for answer in well.answers]).most,
         "told_p50": quantiles([answer.took_ms for answer in failing.answers]).p50,
     }
 
@@ -161,7 +162,7 @@
     quantities=(
         Quantity("served", "of the calls, chain well"),
         Quantity("added_p50", "ms, chain well"),
-        Quantity("added_p99", "ms, chain well"),
+        Quantity("added_most", "ms, chain well, slowest of 40"),
         Quantity("left", "ms of 2,000 at the leaf, chain well"),
         Quantity("attempts", "attempts at the failing leaf a call"),
         Quantity("attempts_first", "attempts at the failing leaf by the first call"),
@@ -170,6 +171,7 @@
         Quantity("told_error", "of the calls, leaf failing"),
         Quantity("unanswered", "of the calls, leaf failing"),
         Quantity("told_p50", "ms, leaf failing"),
+        Quantity("late", "ms that the load's own timers were late at most"),
     ),
     measure=measure,
 )
