Leave out what a busy machine measured, and measure the data path of another checkout

Need: the load of the data path was late on a machine under load, and what it showed then was the machine; and a mend is shown by both checkouts under one load.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -1,10 +1,10 @@
 """The costs of the balancer over its sizes, measured and fitted.
 
-    python -m benchmarks.scale [--costs NAMES] [--rounds 3] [--json F] [--page F]
+    python -m benchmarks.scale [--costs NAMES] [--rounds 3] [--json F] [--page F] [--checkout DIR]
 
 Sizes take turns within each round. Every reading is printed as a line of JSON; `--json` gets the series with
 their fits, `--page` a page with plots (extra `plots`). Processor time is that of the processes measured, not
-the wall's."""
+the wall's. `--checkout`: whose code the daemon of the data path's costs runs."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.scale import catalogue, report
+from benchmarks.scale import catalogue, data_path_cost, report
 from benchmarks.scale.cost import Series, run_rounds
 
 
@@ -25,6 +25,7 @@
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale")
     parser.add_argument("--costs", nargs="+", choices=sorted(catalogue.COSTS), metavar="NAME")
     parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--checkout", type=Path, default=data_path_cost.data_path.ROOT)
     parser.add_argument("--json", type=Path)
     parser.add_argument("--page", type=Path)
     return parser.parse_args(words)
@@ -38,10 +39,11 @@
     given = sys.argv[1:] if words is None else words
     args = _arguments(given)
     names = args.costs or list(catalogue.COSTS)
+    costs = catalogue.COSTS | {cost.name: cost for cost in data_path_cost.costs(args.checkout.resolve())}
     every: list[Series] = []
     for name in names:
         begin_s = time.monotonic()
-        every += run_rounds(catalogue.COSTS[name], args.rounds, lambda line: print(line, flush=True))
+        every += run_rounds(costs[name], args.rounds, lambda line: print(line, flush=True))
         took = {"cost": name, "took_s": round(time.monotonic() - begin_s, 1)}
         print(json.dumps(took), flush=True)
     command = f"python -m benchmarks.scale --costs {' '.join(names)} --rounds {args.rounds}"
--- a/benchmarks/scale/data_path_cost.py
+++ b/benchmarks/scale/data_path_cost.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from functools import partial
+from pathlib import Path
 
 from benchmarks.scale import data_path
-from benchmarks.scale.cost import Cost, Quantity, Readings
+from benchmarks.scale.cost import Cost, MachineBusy, Quantity, Readings
 
 SERVERS = (10, 34, 100, 200, 300, 400, 680)
 CALLS_PER_S = 294.0
@@ -22,9 +23,16 @@
 
 
 def measure(
-    servers: int, own_ports: bool = False, calls_per_s: float = CALLS_PER_S, length_s: float = LENGTH_S
+    servers: int,
+    own_ports: bool = False,
+    calls_per_s: float = CALLS_PER_S,
+    length_s: float = LENGTH_S,
+    checkout: Path = data_path.ROOT,
 ) -> Readings:
-    sample = data_path.measure(servers, calls_per_s, length_s, own_ports)
+    """Raises MachineBusy if the load's own timers were late."""
+    sample = data_path.measure(servers, calls_per_s, length_s, own_ports, checkout=checkout)
+    if sample.refused:
+        raise MachineBusy(f"the load was {sample.late_ms.p99:.1f} ms late at the 99th percentile")
     return {
         "lost": sample.lost_share,
         "cpu": sample.cpu_ms_per_call,
@@ -35,12 +43,23 @@
     }
 
 
-SHARED = Cost("data_path", "servers in the list", SERVERS, "real processes", QUANTITIES, measure)
-OWN_PORTS = Cost(
-    "data_path_own_ports",
-    "servers in the list, each with a port of its own",
-    SERVERS,
-    "real processes",
-    QUANTITIES,
-    partial(measure, own_ports=True),
-)
+def costs(checkout: Path = data_path.ROOT) -> tuple[Cost, Cost]:
+    """`checkout`: whose code the daemon runs. Names that share ten addresses, and names with ports of their
+    own."""
+    shared = Cost(
+        "data_path",
+        "servers in the list",
+        SERVERS,
+        "real processes",
+        QUANTITIES,
+        partial(measure, checkout=checkout),
+    )
+    own_ports = Cost(
+        "data_path_own_ports",
+        "servers in the list, each with a port of its own",
+        SERVERS,
+        "real processes",
+        QUANTITIES,
+        partial(measure, own_ports=True, checkout=checkout),
+    )
+    return shared, own_ports
--- a/tests/scale_costs/test_report.py
+++ b/tests/scale_costs/test_report.py
@@ -10,7 +10,7 @@
 
 from benchmarks.scale import __main__ as command
 from benchmarks.scale import catalogue, report
-from benchmarks.scale.cost import Basis, Cost, Quantity, Readings, run_rounds
+from benchmarks.scale.cost import Basis, Cost, MachineBusy, Quantity, Readings, run_rounds
 
 SIZES = (1, 2, 4, 8, 16)
 
@@ -43,6 +43,32 @@
     assert series[0].readings[1] == (2.0,)
 
 
+def test_a_refused_measurement_is_told_and_left_out() -> None:
+    told: list[str] = []
+    busy = iter([True, False])
+
+    def measure(size: int) -> Readings:
+        if size == 8 and next(busy):
+            raise MachineBusy("the load was late")
+        return lines(size)
+
+    series = run_rounds(made_up(measure), 2, told.append)
+    assert series[0].readings[8] == (16.0,)
+    assert series[0].readings[4] == (8.0, 8.0)
+    assert sum("refused" in line for line in told) == 1
+
+
+def test_a_size_without_any_reading_is_not_in_the_series() -> None:
+    def measure(size: int) -> Readings:
+        if size == 16:
+            raise MachineBusy("the load was late")
+        return lines(size)
+
+    series = run_rounds(made_up(measure), 2, lambda line: None)
+    assert 16 not in series[0].readings
+    assert report.entry(series[0], "the command")["at"].keys() == {"1", "2", "4", "8"}
+
+
 def test_fewer_than_five_sizes_are_refused() -> None:
     with pytest.raises(ValueError, match="made_up"):
         Cost("made_up", "sizes", (1, 2, 3), "counted", (Quantity("first", "us"),), lines)
