--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -19,13 +19,14 @@
 
 from benchmarks.scale import catalogue, data_path_cost, report
 from benchmarks.scale.cost import Series, run_rounds
+from benchmarks.scale.data_path import ROOT
 
 
 def _arguments(words: list[str]) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale")
     parser.add_argument("--costs", nargs="+", choices=sorted(catalogue.COSTS), metavar="NAME")
     parser.add_argument("--rounds", type=int, default=3)
-    parser.add_argument("--checkout", type=Path, default=data_path_cost.data_path.ROOT)
+    parser.add_argument("--checkout", type=Path, default=ROOT)
     parser.add_argument("--json", type=Path)
     parser.add_argument("--page", type=Path)
     return parser.parse_args(words)
--- a/benchmarks/scale/cost.py
+++ b/benchmarks/scale/cost.py
@@ -64,8 +64,8 @@
 
 def run_rounds(cost: Cost, rounds: int, tell: Told) -> list[Series]:
     """Each size once in every round, so that a change of the machine's speed meets all sizes alike. What
-    gives the same figures each time takes one round. Refused measurements are told and left out; a size without
-    any other has no readings."""
+    gives the same figures each time takes one round. Refused measurements are told and left out; a size
+    without any other has no readings."""
     readings: dict[str, dict[int, list[float]]] = {
         quantity.name: {size: [] for size in cost.sizes} for quantity in cost.quantities
     }
