--- a/benchmarks/scale/lists.py
+++ b/benchmarks/scale/lists.py
@@ -13,8 +13,8 @@
 from cedarcross.balance import Balancer
 from cedarcross.config.fleet import seal
 from cedarcross.config.policy import read_policy
+from cedarcross.directory import Directory
 from cedarcross.interface import Idempotency, RequestClass, Settings
-from cedarcross.proxy.discovery import Directory
 
 SERVERS = (10, 34, 100, 200, 340, 680)
 SEED = 7
--- /dev/null
+++ b/cedarcross/address.py
@@ -0,0 +1,30 @@
+"""Addresses of sockets, as configurations, lists of servers and operators' files state them."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from cedarcross.facts import shown
+
+Address = tuple[str, int]
+"""An IP address and a port."""
+
+
+class AddressError(ValueError):
+    """Not an address that can be used; the text says why, on one line."""
+
+
+def read_address(text: str, what: str = "") -> Address:
+    """`IP:port`, IPv6 in brackets. There is no DNS. `what` begins the text of an error.
+
+    Raises AddressError."""
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        raise AddressError(f"{what}not an address of the form IP:port: {shown(text)}") from None
+    if not 0 <= number < 65536:
+        raise AddressError(f"{what}port out of range: {shown(text)}")
+    return host, number
--- a/cedarcross/agreement/carrier.py
+++ b/cedarcross/agreement/carrier.py
@@ -20,11 +20,11 @@
 from cedarcross.agreement.store import MOST_BODIES, Store
 from cedarcross.agreement.voter import Keep, Say
 from cedarcross.agreement.words import MOST, Accept, NotAWord, Seat, Tally, Version, Word, decode, encode
+from cedarcross.clock import now_ms
 from cedarcross.config.fleet import digest_of
 from cedarcross.membership.keys import Keyring
 from cedarcross.membership.link import UdpPort
 from cedarcross.membership.wire import MAC, SIGNATURE, Address
-from cedarcross.proxy.clock import now_ms
 
 log = logging.getLogger(__name__)
 
--- a/cedarcross/agreement/source.py
+++ b/cedarcross/agreement/source.py
@@ -16,23 +16,23 @@
 from typing import Any
 
 from cedarcross import __version__
+from cedarcross.address import read_address
 from cedarcross.agreement.carrier import Carrier, Peer, seat_verify
 from cedarcross.agreement.holder import HolderSettings
 from cedarcross.agreement.node import Ended, Node
 from cedarcross.agreement.store import Store
 from cedarcross.agreement.voter import Memory
 from cedarcross.agreement.words import Ballot, Decided, Seat, Version
+from cedarcross.clock import now_ms
 from cedarcross.config.fleet import digest_of
 from cedarcross.config.kept import Folder
 from cedarcross.config.models import AgreementTable, RolloutTable
 from cedarcross.config.policy import Policy, read_policy
 from cedarcross.config.running import Stated, slip
 from cedarcross.config.source import FileSource
+from cedarcross.directory import Directory
 from cedarcross.interface import EndpointsListed
 from cedarcross.membership.keys import load_keyring
-from cedarcross.proxy.clock import now_ms
-from cedarcross.proxy.config import read_address
-from cedarcross.proxy.discovery import Directory
 from cedarcross.rollout.carried import Carried
 from cedarcross.rollout.driver import first_of
 from cedarcross.tomlfile import TomlError
--- a/cedarcross/cli/serve.py
+++ b/cedarcross/cli/serve.py
@@ -10,16 +10,17 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from cedarcross.address import read_address
 from cedarcross.balance import Balancer
 from cedarcross.cli.control import Control, Json, Refusal
+from cedarcross.clock import now_ms, unix_offset_ms
 from cedarcross.config.kept import Folder, Kept
 from cedarcross.config.models import PolicyTable, RequestClassEntry, ServeFile, parse
 from cedarcross.config.policy import Policy
 from cedarcross.config.running import Stated
 from cedarcross.config.source import FileSource
 from cedarcross.operators import NOTHING, Operators, load_operators
-from cedarcross.proxy.clock import now_ms, unix_offset_ms
-from cedarcross.proxy.config import Config, read_address
+from cedarcross.proxy.config import Config
 from cedarcross.proxy.daemon import Daemon, MakeListing
 from cedarcross.routing.weights import Weights
 from cedarcross.settings import read_settings
--- a/cedarcross/config/source.py
+++ b/cedarcross/config/source.py
@@ -15,13 +15,13 @@
 from pathlib import Path
 from typing import Any
 
+from cedarcross.address import Address
+from cedarcross.clock import now_ms, unix_offset_ms
 from cedarcross.config.fleet import MOST_BYTES, Fleet
 from cedarcross.config.kept import Kept
 from cedarcross.config.running import Held, News, Refused, Running, Stated, Taken
+from cedarcross.directory import Directory
 from cedarcross.interface import EndpointsListed, ListKind
-from cedarcross.proxy.clock import now_ms, unix_offset_ms
-from cedarcross.proxy.config import Address
-from cedarcross.proxy.discovery import Directory
 
 log = logging.getLogger(__name__)
 
--- a/cedarcross/emulator/stage.py
+++ b/cedarcross/emulator/stage.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
 
+from cedarcross import clock
 from cedarcross.emulator.chance import share
 from cedarcross.emulator.clients import Caller, plan
 from cedarcross.emulator.day import SERVER_TROUBLES, ClassSpec, Day, Incident, ServerSpec
@@ -28,7 +29,6 @@
 from cedarcross.emulator.rules import Findings, check
 from cedarcross.emulator.virtual import Scheduler, VirtualLoop
 from cedarcross.operators import NOTHING, Operators
-from cedarcross.proxy import clock
 from cedarcross.proxy.config import Config, read
 from cedarcross.proxy.daemon import Daemon
 
--- a/cedarcross/membership/gossip.py
+++ b/cedarcross/membership/gossip.py
@@ -5,14 +5,15 @@
 import asyncio
 import logging
 from dataclasses import replace
+from typing import Protocol
 
+from cedarcross.address import Address
+from cedarcross.clock import now_ms
 from cedarcross.interface import Settings
 from cedarcross.membership.keys import Keyring, load_keyring
 from cedarcross.membership.link import Port, UdpPort
 from cedarcross.membership.node import GossipSettings, Node
 from cedarcross.membership.suspicions import Suspicions
-from cedarcross.proxy.clock import now_ms
-from cedarcross.proxy.config import Config
 from cedarcross.tomlfile import TomlError
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,22 @@
 LINES = 8  # in the log at once; of the rest only the number
 
 
+class InstanceConfig(Protocol):
+    """What gossip needs of the configuration of its instance."""
+
+    @property
+    def peer_listen(self) -> Address | None: ...
+
+    @property
+    def peers(self) -> tuple[Address, ...]: ...
+
+    @property
+    def settings(self) -> Settings: ...
+
+    @property
+    def seed(self) -> int: ...
+
+
 class Gossip:
     """Made before the daemon, started and ended with it."""
 
@@ -39,7 +56,7 @@
         self._closed = False
 
     @classmethod
-    def of(cls, config: Config, stated: GossipSettings, keyring: Keyring) -> Gossip:
+    def of(cls, config: InstanceConfig, stated: GossipSettings, keyring: Keyring) -> Gossip:
         """Where the platform says how instances reach each other, its addresses stand for those not
         stated."""
         listen = stated.listen
--- a/cedarcross/proxy/config.py
+++ b/cedarcross/proxy/config.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from cedarcross.address import Address, read_address
 from cedarcross.facts import Facts, shown
 from cedarcross.interface import Settings
 from cedarcross.settings import read_settings
 
 Json = dict[str, Any]
-Address = tuple[str, int]
 
 DEFAULT_SOCKETS = 1024
 
@@ -35,20 +34,6 @@
     peers: tuple[Address, ...] = ()
 
 
-def read_address(text: str, what: str = "") -> Address:
-    """`IP:port`, IPv6 in brackets. There is no DNS. `what` begins the text of an error."""
-    host, _, port = text.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    try:
-        ipaddress.ip_address(host)
-        number = int(port)
-    except ValueError:
-        raise ConfigError(f"{what}not an address of the form IP:port: {shown(text)}") from None
-    if not 0 <= number < 65536:
-        raise ConfigError(f"{what}port out of range: {shown(text)}")
-    return host, number
-
-
 def read_seed(value: object) -> int:
     try:
         return int(value, 16) if isinstance(value, str) else int(value)  # type: ignore[call-overload]
--- a/cedarcross/proxy/core.py
+++ b/cedarcross/proxy/core.py
@@ -10,6 +10,8 @@
 
 from cedarcross.advice import Advisor
 from cedarcross.balance import DEFAULT_DEADLINE_MS, Balancer
+from cedarcross.clock import now_ms
+from cedarcross.directory import Directory
 from cedarcross.interface import (
     Action,
     AttemptEnded,
@@ -37,8 +39,6 @@
 )
 from cedarcross.limits.recall import Recall
 from cedarcross.operators import NOTHING, Operators
-from cedarcross.proxy.clock import now_ms
-from cedarcross.proxy.discovery import Directory
 from cedarcross.proxy.messages import ClientRequest, HostAnswer
 from cedarcross.proxy.upstream import Attempt, Ended, Upstream
 
--- a/cedarcross/proxy/daemon.py
+++ b/cedarcross/proxy/daemon.py
@@ -12,13 +12,15 @@
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
+from cedarcross.address import Address
 from cedarcross.advice import Advisor
 from cedarcross.balance import DEFAULT_DEADLINE_MS
+from cedarcross.directory import Directory
 from cedarcross.interface import EndpointsListed, Settings
 from cedarcross.operators import NOTHING, Operators
-from cedarcross.proxy.config import Address, Config
+from cedarcross.proxy.config import Config
 from cedarcross.proxy.core import Core
-from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.discovery import Discovery
 from cedarcross.proxy.front import Front
 from cedarcross.proxy.json_lines import Json
 from cedarcross.proxy.upstream import OpenSocket, Upstream, open_socket
--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -15,8 +15,8 @@
 import httptools
 
 from cedarcross.balance import DEFAULT_DEADLINE_MS
+from cedarcross.clock import now_ms
 from cedarcross.interface import Idempotency, Settings
-from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.core import Core
 from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer, end_to_end
 from cedarcross.proxy.peer import Peer
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -12,9 +12,9 @@
 
 import httptools
 
+from cedarcross.address import Address
+from cedarcross.clock import now_ms
 from cedarcross.interface import Limits, Outcome
-from cedarcross.proxy.clock import now_ms
-from cedarcross.proxy.config import Address
 from cedarcross.proxy.messages import MAX_BODY, ClientRequest, Headers, HostAnswer
 from cedarcross.proxy.slots import Slots
 from cedarcross.routing.places import Places
--- a/tests/agreement/test_carrier.py
+++ b/tests/agreement/test_carrier.py
@@ -14,10 +14,10 @@
 from cedarcross.agreement.store import Store
 from cedarcross.agreement.voter import Memory
 from cedarcross.agreement.words import Ballot, Check, Decided, Seat, Version
+from cedarcross.clock import now_ms
 from cedarcross.config.fleet import digest_of
 from cedarcross.config.kept import Folder
 from cedarcross.emulator.town import keyring
-from cedarcross.proxy.clock import now_ms
 from cedarcross.rig.fleet import address_part
 
 FIRST = b"first"
--- a/tests/config/test_watched.py
+++ b/tests/config/test_watched.py
@@ -15,10 +15,10 @@
 from cedarcross.config.kept import Folder, Kept
 from cedarcross.config.running import Stated
 from cedarcross.config.source import FileSource
+from cedarcross.directory import Directory
 from cedarcross.interface import EndpointsListed, EndpointState
 from cedarcross.proxy.config import Config
 from cedarcross.proxy.daemon import Daemon, Shares
-from cedarcross.proxy.discovery import Directory
 from cedarcross.settings import read_settings
 from tests.sockets import KEYED_CLASS, Client, Host, facts, run, until
 
--- a/tests/membership/test_loopback.py
+++ b/tests/membership/test_loopback.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from cedarcross.clock import now_ms
 from cedarcross.emulator.liars import AccusesFirst
 from cedarcross.emulator.town import HALLS, keyring
 from cedarcross.membership.evidence import Counts
@@ -24,7 +25,6 @@
 from cedarcross.membership.swim import SwimSettings
 from cedarcross.membership.wire import class_tag, tag
 from cedarcross.operators import Operators, load_operators, parse_operators
-from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.config import Config
 from cedarcross.proxy.daemon import Daemon, Shares
 from cedarcross.settings import read_settings
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -16,12 +16,12 @@
 
 import uvloop
 
+from cedarcross.directory import Directory
 from cedarcross.emulator.record_server import worded
 from cedarcross.interface import Settings
 from cedarcross.proxy.config import Config
 from cedarcross.proxy.core import Core
 from cedarcross.proxy.daemon import Daemon, Listing, Shares
-from cedarcross.proxy.discovery import Directory
 from cedarcross.proxy.front import Front
 from cedarcross.proxy.upstream import Upstream
 from cedarcross.settings import read_settings
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -7,10 +7,10 @@
 
 import pytest
 
+from cedarcross import clock
 from cedarcross.emulator.network import MemoryNetwork
 from cedarcross.emulator.virtual import Scheduler
 from cedarcross.interface import Limits, Outcome
-from cedarcross.proxy import clock
 from cedarcross.proxy.messages import ClientRequest
 from cedarcross.proxy.upstream import Ended, Upstream
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,9 +7,10 @@
 
 import pytest
 
+from cedarcross.directory import Directory
 from cedarcross.interface import EndpointsListed, EndpointState, ListKind
 from cedarcross.proxy import discovery as module
-from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.discovery import Discovery
 from cedarcross.proxy.peer import Peer
 from tests.sockets import Host, Registry, entry, run, until
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,9 +12,9 @@
 import pytest
 
 from cedarcross.balance import Balancer
+from cedarcross.clock import now_ms
 from cedarcross.interface import Action, Event
 from cedarcross.proxy import front as module
-from cedarcross.proxy.clock import now_ms
 from tests.sockets import (
     KEYED_CLASS,
     UNSAFE_CLASS,
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cedarcross import clock
 from cedarcross.emulator.day import Day, load
 from cedarcross.emulator.network import MemoryNetwork
 from cedarcross.emulator.report import report
@@ -18,7 +19,6 @@
 from cedarcross.emulator.virtual import Scheduler
 from cedarcross.interface import Limits, Outcome
 from cedarcross.operators import NOTHING, Operators, parse_operators
-from cedarcross.proxy import clock
 from cedarcross.proxy.messages import ClientRequest
 from cedarcross.proxy.upstream import Ended, Upstream
 from cedarcross.routing.places import BACK_MS, CUT_EVERY_MS, SPREAD, ConnectionSettings, Places
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from cedarcross.proxy.config import Config, ConfigError, load, read, read_address
+from cedarcross.address import read_address
+from cedarcross.proxy.config import Config, ConfigError, load, read
 from tests.sockets import Client, Got, Host, Json, Registry, entry, facts, http, proxy, run, until
 
 
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -12,13 +12,14 @@
 import pytest
 
 from cedarcross.balance import CALL_AGAIN_MS
+from cedarcross.clock import driven
+from cedarcross.directory import Directory
 from cedarcross.emulator.network import MemoryNetwork
 from cedarcross.emulator.virtual import Scheduler, VirtualLoop
 from cedarcross.interface import EndpointState
 from cedarcross.proxy import discovery as module
-from cedarcross.proxy.clock import driven
 from cedarcross.proxy.core import Core
-from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.discovery import Discovery
 from cedarcross.proxy.upstream import Upstream
 from cedarcross.settings import read_settings
 from tests.sockets import facts
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,8 +10,8 @@
 import pytest
 import uvloop
 
+from cedarcross.clock import now_ms
 from cedarcross.interface import Outcome
-from cedarcross.proxy.clock import now_ms
 from cedarcross.proxy.messages import ClientRequest
 from cedarcross.proxy.upstream import Ended, HostConnection, HostEntry, Upstream
 from cedarcross.settings import read_settings
--- a/tests/test_whole_lists.py
+++ b/tests/test_whole_lists.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from cedarcross.clock import driven
 from cedarcross.interface import EndpointState
-from cedarcross.proxy.clock import driven
 from tests.sockets import (
     KEYED_CLASS,
     UNSAFE_CLASS,
