--- a/cedarcross/learned/burden.py
+++ b/cedarcross/learned/burden.py
@@ -27,6 +27,11 @@
                 endpoint.in_flight = old.in_flight
                 endpoint.waiting_since_ms = old.waiting_since_ms
                 endpoint.used_ms = old.used_ms
+        # Danger: each change of policy makes a long list's calls dial until as many servers were used again.
+        for old in before.connected:
+            known = self._balancer.membership.endpoints.get(old.listed.name)
+            if known is not None and known.listed.started_ms == old.listed.started_ms:
+                self._balancer.connected.used(known)
         for old in before.membership.endpoints.values():
             # Danger: a cold server is fed by two balancers of one instance, each within its push. What was
             # saved up has gone along; the repeats that are left there go to servers that are warm.
--- a/cedarcross/proxy/upstream.py
+++ b/cedarcross/proxy/upstream.py
@@ -528,11 +528,14 @@
         oldest_ms = now_ms() - rest_ms
         left = False
         for entry in self.entries.values():
-            old = [c for c in entry.idle if c.idle_since_ms <= oldest_ms]
-            entry.idle = [c for c in entry.idle if c.idle_since_ms > oldest_ms]
+            if not entry.idle:
+                continue
+            if entry.idle[0].idle_since_ms <= oldest_ms:  # the longest idle one of the host
+                old = [c for c in entry.idle if c.idle_since_ms <= oldest_ms]
+                entry.idle = [c for c in entry.idle if c.idle_since_ms > oldest_ms]
+                for connection in old:
+                    connection.abort()
             left = left or bool(entry.idle)
-            for connection in old:
-                connection.abort()
         if left:
             self._sweep = asyncio.get_running_loop().call_later(sweep_s(rest_ms), self._retire)
 
--- a/cedarcross/routing/connected.py
+++ b/cedarcross/routing/connected.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -45,6 +45,10 @@
     def __contains__(self, endpoint: Endpoint) -> bool:
         return endpoint in self._index
 
+    def __iter__(self) -> Iterator[Endpoint]:
+        """The latest used last."""
+        return iter(self._index)
+
     @property
     def short(self) -> bool:
         """Are connections short, and kept to as many servers as they are enough for?"""
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -24,6 +24,7 @@
     Send,
     Settings,
 )
+from cedarcross.learned.burden import Burden
 from cedarcross.routing import connected
 from cedarcross.routing.connected import KEPT_PART
 from tests.driver import SAFE, SETTINGS, Driver, endpoint, full
@@ -175,6 +176,25 @@
     assert names() == before - {gone, drained}
 
 
+def test_a_change_of_policy_keeps_to_the_connected_servers() -> None:
+    servers = listed(200)
+    calls = Calls(holding(80), servers, 80)
+    for _ in range(800):
+        calls.call()
+    before = calls.balancer
+    kept = [each.listed.name for each in before.connected]
+    restarted = min(kept)
+    calls.balancer = Balancer(holding(80), 9)
+    changed = [replace(each, started_ms=5.0) if each.name == restarted else each for each in servers]
+    calls.balancer.handle(before.now_ms, [full(*changed)])
+    Burden(calls.balancer).take_over(before)
+    assert [e.listed.name for e in calls.balancer.connected] == [n for n in kept if n != restarted]
+    dials = calls.transport.dials
+    for _ in range(300):
+        assert calls.call()
+    assert calls.transport.dials - dials < 10
+
+
 def test_lost_servers_are_left_at_once_while_others_are_ready() -> None:
     calls = Calls(holding(40), listed(120), 40)
     for _ in range(600):
