--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -23,7 +23,8 @@
 
 def p99_of_standstills(standstill_ms: float, share: float) -> float:
     """The 99th percentile of what calls wait, where the event loop stands still for `standstill_ms` at a time
-    and for `share` of all time: a call that comes in one waits for what is left of it, evenly spread."""
+    and for `share` of all time: a call that comes in one waits for what is left of it, evenly spread. Left
+    out: the queue that has formed by its end, so that calls wait longer than this."""
     if share <= TOLD_SHARE:
         return 0.0
     return standstill_ms * (1.0 - TOLD_SHARE / share)
--- a/tests/capacity/test_formulas.py
+++ b/tests/capacity/test_formulas.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from benchmarks.capacity import formulas
@@ -35,6 +37,14 @@
     assert formulas.read_p99_day(SIZES, made) == 0.0
 
 
+def test_the_99th_percentile_of_standstills_is_that_of_calls_that_come_at_random() -> None:
+    chance, standstill_ms, share = Random(5), 60.0, 0.04
+    waits = sorted(
+        chance.uniform(0.0, standstill_ms) if chance.random() < share else 0.0 for _ in range(200_000)
+    )
+    assert waits[198_000] == pytest.approx(formulas.p99_of_standstills(standstill_ms, share), rel=0.03)
+
+
 def test_a_change_is_in_force_after_its_spread_the_lease_and_the_reading() -> None:
     made = slopes(
         lease__last=series({1500: 50.0, 3000: 40.0}),
