--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -65,6 +65,10 @@
     return slopes.at("data_path.added_p50", 10)
 
 
+def waited_10(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("data_path.waited", 10)
+
+
 def added_by_part(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.run("added_by_part")
 
--- a/benchmarks/scale/data_path_cost.py
+++ b/benchmarks/scale/data_path_cost.py
@@ -19,6 +19,7 @@
     Quantity("added_p99", "ms"),
     Quantity("memory", "MB"),
     Quantity("dials", "connections made in a trial"),
+    Quantity("waited", "ms a call that the daemon was ready and had no core"),
 )
 
 
@@ -40,6 +41,7 @@
         "added_p99": sample.added_ms.p99,
         "memory": sample.resident_kb / 1024.0,
         "dials": float(sample.dials),
+        "waited": sample.waited_ms_per_call,
     }
 
 
