--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -14,6 +14,7 @@
     by_ratio,
     compute,
     first_to_mend,
+    over_budget,
 )
 from benchmarks.capacity.rows import ROWS
 from benchmarks.capacity.slopes import Slopes
@@ -84,15 +85,19 @@
     return _table(head, rows)
 
 
-def first(computed: Sequence[Computed]) -> str:
-    """The rows to mend first."""
+def _numbered(rows: Sequence[Computed]) -> str:
     lines = [
         f"{number}. {found.row.name}: {_value(found)}, budget {_budget(found)}, ratio {_ratio(found)}"
-        for number, found in enumerate(first_to_mend(computed)[:FIRST], 1)
+        for number, found in enumerate(rows, 1)
     ]
     return "\n".join(lines) or "None is over its budget."
 
 
+def first(computed: Sequence[Computed]) -> str:
+    """The rows to mend first."""
+    return _numbered(first_to_mend(computed)[:FIRST])
+
+
 def of_role(role: Role, computed: Sequence[Computed], slopes: Slopes) -> str:
     head = ("quantity", "row", "formula", "measured slope", "at 680", "mechanism", "file")
     rows = [
@@ -136,6 +141,7 @@
     made = {
         "decided": first(as_it_was(computed)),
         "first": first(as_it_stands(computed)),
+        "over": _numbered(over_budget(as_it_stands(computed))),
         "ratios": ratios(computed),
         "failures": failures(slopes),
         "commands": commands(slopes),
--- a/benchmarks/capacity/row.py
+++ b/benchmarks/capacity/row.py
@@ -124,6 +124,15 @@
     return [found for found in rows if found.row.name not in mended]
 
 
+def over_budget(rows: Sequence[Computed]) -> list[Computed]:
+    """Measured rows over their budget that lose no service, the largest ratio first."""
+    return [
+        found
+        for found in by_ratio(rows)
+        if not found.row.loses_service and (found.ratio is not None and found.ratio > 1)
+    ]
+
+
 def first_to_mend(rows: Sequence[Computed]) -> list[Computed]:
     """Measured rows that lose service, over their budget, the largest ratio first."""
     return [
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -23,6 +23,7 @@
     by_ratio,
     compute,
     first_to_mend,
+    over_budget,
 )
 from benchmarks.capacity.rows import ROWS
 from benchmarks.capacity.slopes import Slopes, load
@@ -115,6 +116,7 @@
     ]
     assert [found.row.name for found in by_ratio(rows)] == ["late", "large", "small", "free", "none"]
     assert [found.row.name for found in first_to_mend(rows)] == ["large"]
+    assert [found.row.name for found in over_budget(rows)] == ["late"]
     assert first(rows).startswith("1. large")
     assert "| none | " in ratios(rows)
 
