--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -34,7 +34,7 @@
 
 
 def added_p99_680(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.at("data_path.added_p99", sizes.hosts)
+    return slopes.least("data_path.added_p99", sizes.hosts)
 
 
 def lost_680(sizes: Sizes, slopes: Slopes) -> float:
@@ -46,7 +46,7 @@
 
 
 def added_p99_680_before(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.at("data_path_before.added_p99", sizes.hosts)
+    return slopes.least("data_path_before.added_p99", sizes.hosts)
 
 
 def lost_680_before(sizes: Sizes, slopes: Slopes) -> float:
@@ -58,11 +58,11 @@
 
 
 def added_p99_10(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.at("data_path.added_p99", 10)
+    return slopes.least("data_path.added_p99", 10)
 
 
 def added_p50_10(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.at("data_path.added_p50", 10)
+    return slopes.least("data_path.added_p50", 10)
 
 
 def waited_10(sizes: Sizes, slopes: Slopes) -> float:
@@ -106,11 +106,11 @@
 
 
 def depth_added_most(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.at("depth.added_most", sizes.levels)
+    return slopes.least("depth.added_most", sizes.levels)
 
 
 def depth_added_p50(sizes: Sizes, slopes: Slopes) -> float:
-    return slopes.at("depth.added_p50", sizes.levels)
+    return slopes.least("depth.added_p50", sizes.levels)
 
 
 def depth_late(sizes: Sizes, slopes: Slopes) -> float:
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -32,7 +32,7 @@
 DATA_PATH = (
     Row(
         "Lists, added time at 680 servers", Role.DATA_PATH, Kind.TIME,
-        "measured at 294 calls a second, 680 names of ten servers", "ms at the 99th percentile",
+        "measured at 294 calls a second, 680 names of ten servers", "ms at the 99th percentile, least round",
         formulas.added_p99_680, ("data_path.added_p99",), lambda b: b.added_p99_ms, False, SLOTS,
     ),
     Row(
@@ -47,13 +47,13 @@
     ),
     Row(
         "Added time", Role.DATA_PATH, Kind.TIME,
-        "measured at 294 calls a second, ten servers", "ms at the 99th percentile",
+        "measured at 294 calls a second, ten servers", "ms at the 99th percentile, least round",
         formulas.added_p99_10, ("data_path.added_p99",), lambda b: b.added_p99_ms, False, EVENT_LOOP,
         Claim("1.5 to 2.2 ms, over the budget", lambda ms: ms > 0.87),
     ),
     Row(
         "Added time, in the median", Role.DATA_PATH, Kind.TIME,
-        "measured at 294 calls a second, ten servers", "ms",
+        "measured at 294 calls a second, ten servers", "ms, least round",
         formulas.added_p50_10, ("data_path.added_p50",), None, False, EVENT_LOOP,
     ),
     Row(
@@ -111,13 +111,13 @@
     ),
     Row(
         "Depth, added time", Role.DATA_PATH, Kind.TIME,
-        "measured 26 levels deep; budget 26 x 0.87 ms", "ms, slowest of 40 calls",
+        "measured 26 levels deep; budget 26 x 0.87 ms", "ms, slowest of 40 calls, least round",
         formulas.depth_added_most, ("depth.added_most",), lambda b: 26 * b.added_p99_ms, False, EVENT_LOOP,
         Claim("26 times the added time, over the budget", lambda ms: ms > 26 * 0.87),
     ),
     Row(
         "Depth, added time in the median", Role.DATA_PATH, Kind.TIME,
-        "measured 26 levels deep", "ms",
+        "measured 26 levels deep", "ms, least round",
         formulas.depth_added_p50, ("depth.added_p50",), None, False, EVENT_LOOP,
     ),
     Row(
@@ -152,7 +152,7 @@
 BEFORE_SLOTS = (
     Row(
         "Before slots: added time at 680 servers", Role.DATA_PATH, Kind.TIME,
-        "measured at 294 calls a second, 680 names of ten servers", "ms at the 99th percentile",
+        "measured at 294 calls a second, 680 names of ten servers", "ms at the 99th percentile, least round",
         formulas.added_p99_680_before, ("data_path_before.added_p99",), lambda b: b.added_p99_ms, True,
         UPSTREAM, Claim("300 ms", lambda ms: ms >= 150), "Lists, added time at 680 servers",
     ),
--- a/benchmarks/capacity/slopes.py
+++ b/benchmarks/capacity/slopes.py
@@ -57,10 +57,11 @@
             raise NotMeasured(name, f"not measured at {key}")
         return float(found[key]["median"])
 
-    def spread(self, name: str, size: float) -> tuple[float, float]:
-        """The least and the most at this size."""
-        found = self._series(name)["at"][f"{size:g}"]
-        return float(found["least"]), float(found["most"])
+    def least(self, name: str, size: float) -> float:
+        """The least of the rounds at this size: for times by the wall, which others on the machine only
+        lengthen. Raises as `at`."""
+        self.at(name, size)
+        return float(self._series(name)["at"][f"{size:g}"]["least"])
 
     def slope(self, name: str) -> float:
         """Of the fitted line, by unit of its axis."""
