Play scale runs: hollow instances beside real ones, one change, a figure for each role

The operators plan for 680 client proxies, and nothing here shows what control costs at that size, or how soon a change holds everywhere.

`cedarcross scale run FILE` starts processes with many hollow instances each (the agreement's source, carrier, node and store, configuration, logs, on sockets and addresses of their own), control machines, and `serve` processes under open-loop load beside them, half of these without the agreement to tell control from data. The rig's layers count datagrams and bytes of streams, and can hold back dials.

No speed is asserted.

--- a/cedarcross/cli/__main__.py
+++ b/cedarcross/cli/__main__.py
@@ -283,6 +283,19 @@
     drills(list(words), prog_name="cedarcross drill")
 
 
+@main.command(
+    "scale",
+    context_settings={"ignore_unknown_options": True, "allow_interspersed_args": False},
+    add_help_option=False,
+)
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def scale(words: tuple[str, ...]) -> None:
+    """Hundreds of hollow instances beside real ones: what control costs, and how soon a change holds."""
+    from cedarcross.scale.command import main as scales
+
+    scales(list(words), prog_name="cedarcross scale")
+
+
 @main.group()
 def world() -> None:
     """Emulated servers to try things on."""
--- a/cedarcross/rig/inside.py
+++ b/cedarcross/rig/inside.py
@@ -32,6 +32,7 @@
 PR_SET_PDEATHSIG = 1
 
 counts: collections.Counter[str] = collections.Counter()  # what faults did: their evidence
+traffic: collections.Counter[str] = collections.Counter()  # datagrams and bytes that went and came
 
 
 class Clock:
@@ -176,6 +177,8 @@
                 address = rest[-1]
                 fault = faulty.faults.get(address[0]) if self.type == socket.SOCK_DGRAM else None
                 if fault is None or faulty._random.random() >= fault["share"]:
+                    traffic["sent"] += 1
+                    traffic["bytes_sent"] += len(data)
                     return super().sendto(data, *rest)
                 counts[fault["kind"]] += 1
                 if fault["kind"] == "die-after":
@@ -200,6 +203,12 @@
                         super().sendto(held[0], *held[1])
                 return len(data)
 
+            def recvfrom(self, *words: Any) -> tuple[bytes, Any]:
+                data, source = super().recvfrom(*words)
+                traffic["received"] += 1
+                traffic["bytes_received"] += len(data)
+                return data, source
+
             def _late(self, data: bytes, rest: tuple[Any, ...]) -> None:
                 with contextlib.suppress(OSError):  # its socket was closed meanwhile: the datagram is lost
                     super().sendto(data, *rest)
@@ -207,7 +216,47 @@
         socket.socket = Faulty  # type: ignore[misc]
 
 
-def obey(handle: int, clock: Clock, disk: Disk, datagrams: Datagrams) -> None:
+class Streams:
+    """Dials of asyncio's streams that hang, by the address dialled, and the bytes of streams over TCP.
+    Connections that are up stay as they are, and so do dials past asyncio's streams."""
+
+    def __init__(self) -> None:
+        self.cut: set[str] = set()  # IP addresses
+
+    def put_under(self) -> None:
+        dial, feed, write = (
+            asyncio.open_connection,
+            asyncio.StreamReader.feed_data,
+            asyncio.StreamWriter.write,
+        )
+
+        async def open_connection(host: Any = None, port: Any = None, **more: Any) -> Any:
+            if host in self.cut:
+                counts["stream-cut"] += 1
+                # As with packets that are lost: neither an answer nor a refusal, until the caller gives up.
+                await asyncio.get_running_loop().create_future()
+            return await dial(host, port, **more)
+
+        def over_tcp(transport: Any) -> bool:
+            return transport is not None and isinstance(transport.get_extra_info("peername"), tuple)
+
+        def feed_data(reader: Any, data: bytes) -> None:
+            if over_tcp(reader._transport):
+                traffic["stream_bytes_received"] += len(data)
+            feed(reader, data)
+
+        def written(writer: asyncio.StreamWriter, data: bytes) -> None:
+            if over_tcp(writer.transport):
+                traffic["stream_bytes_sent"] += len(data)
+            write(writer, data)
+
+        put: Any = asyncio
+        put.open_connection = open_connection
+        put.StreamReader.feed_data = feed_data
+        put.StreamWriter.write = written
+
+
+def obey(handle: int, clock: Clock, disk: Disk, datagrams: Datagrams, streams: Streams) -> None:
     """Orders of the drill, on a thread of its own; each is answered with what was counted so far."""
     orders = socket.socket(fileno=handle)
     orders.setblocking(True)
@@ -224,8 +273,10 @@
                     datagrams.faults[address] = order
                 else:
                     datagrams.faults.pop(address, None)
+        elif order["do"] == "streams":
+            (streams.cut.update if order["cut"] else streams.cut.difference_update)(order["to"])
         clocks = {"told_s": time.monotonic(), "true_s": clock.monotonic(), "unix_s": time.time()}
-        orders.send(json.dumps({"counts": dict(counts), **clocks}).encode())
+        orders.send(json.dumps({"counts": dict(counts), "traffic": dict(traffic), **clocks}).encode())
 
 
 def main() -> None:
@@ -241,14 +292,15 @@
     if "--path" in stated:
         sys.path.insert(0, stated["--path"])
     if "--orders" in stated:
-        clock, disk, datagrams = Clock(), Disk(stated["--folder"]), Datagrams()
+        clock, disk, datagrams, streams = Clock(), Disk(stated["--folder"]), Datagrams(), Streams()
         if stated.get("--clock") == "bent":
             clock.put_under()
         disk.put_under()
         datagrams.put_under()
+        streams.put_under()
         handle = int(stated["--orders"])
         os.set_inheritable(handle, False)
-        threading.Thread(target=obey, args=(handle, clock, disk, datagrams), daemon=True).start()
+        threading.Thread(target=obey, args=(handle, clock, disk, datagrams, streams), daemon=True).start()
     sys.argv = [module, *given]
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
--- /dev/null
+++ b/cedarcross/scale/files.py
@@ -0,0 +1,131 @@
+"""The files of each instance: its own, its keys, and the first policy."""
+
+from __future__ import annotations
+
+import base64
+import re
+from pathlib import Path
+
+from cedarcross.emulator.town import secret_of
+from cedarcross.membership.keys import Ed25519, issue, keyring_text, write_private
+from cedarcross.rig.load import KEYED, UNSAFE
+from cedarcross.scale.layout import Layout, Place, Role
+from cedarcross.scale.plan import ScalePlan
+
+FIRST = "policy.toml"
+CONFIG = "serve.toml"
+CONTROL_SOCKET = "control.sock"
+KEPT = "kept"
+GOSSIP_SEEDS = 3
+WEIGHTS = 997  # weights that changes go through, so that each one differs from the one before
+
+
+def server_name(plan: ScalePlan, number: int) -> str:
+    return f"s{number % plan.policy.services}-{number // plan.policy.services}"
+
+
+def first_policy(plan: ScalePlan, addresses: list[str]) -> str:
+    """Version 1. `addresses`: of emulated servers, one for each name."""
+    zones = [zone for region in plan.region for zone in region.zones]
+    lines: list[str] = []
+    for number in range(plan.policy.servers):
+        lines += [
+            "[[server]]",
+            f'name = "{server_name(plan, number)}"',
+            f'address = "{addresses[number]}"',
+            f'hall = "{zones[number % len(zones)]}"',
+            f"rack = {number % 50}",
+            "warm = true",
+            "weight = 1.0",
+            "",
+        ]
+    return "\n".join(lines)
+
+
+def changed_policy(text: str, service: int, number: int) -> str:
+    """The same policy with another weight for the first server of the service. Raises ValueError if there is
+    none."""
+    pattern = rf'(name = "s{service}-0"\n(?:.*\n)*?weight = )[\d.]+'
+    weight = 1.0 + (1 + number % WEIGHTS) / 1000.0
+    changed, count = re.subn(pattern, rf"\g<1>{weight:.3f}", text, count=1)
+    if not count:
+        raise ValueError(f"service {service} has no server in the policy")
+    return changed
+
+
+class Files:
+    """Writes them, in a folder for each instance."""
+
+    def __init__(self, plan: ScalePlan, layout: Layout, shared: Path) -> None:
+        self._plan, self._layout, self.first = plan, layout, shared / FIRST
+        self._authority = Ed25519(secret_of(plan.seed, "authority"))
+        self._seats = "\n".join(self._seat(place) for place in layout.places if place.role is Role.CONTROL)
+
+    def _secret(self, place: Place) -> bytes:
+        return secret_of(self._plan.seed, f"member {place.member}")
+
+    def _seat(self, place: Place) -> str:
+        public = base64.b64encode(Ed25519(self._secret(place)).public).decode()
+        return (
+            f'[[agreement.seat]]\nmember = {place.member}\naddress = "{place.agreement}"\n'
+            f'public = "{public}"\nvotes = true'
+        )
+
+    def write(self, place: Place, home: Path, listen: str) -> Path:
+        """Returns the path of the instance's own file. `listen`: where its applications reach it."""
+        home.mkdir(parents=True, exist_ok=True)
+        if place.role is not Role.PLAIN:
+            self._write_keys(place, home)
+        operators = self._write_operators(place, home)
+        path = home / CONFIG
+        path.write_text(self._own(place, listen, operators))
+        return path
+
+    def _write_keys(self, place: Place, home: Path) -> None:
+        secret = self._secret(place)
+        card = issue(self._authority, 1, place.member, place.zone, 1, Ed25519(secret).public)
+        groups = {1: secret_of(self._plan.seed, "group 1")}
+        text = keyring_text(card, place.zone, secret, groups, {1: self._authority.public})
+        write_private(home / "own.keys", text)
+
+    def _write_operators(self, place: Place, home: Path) -> bool:
+        if not self._plan.hollow.gossip or place.role is Role.PLAIN:
+            return False
+        seeds = ", ".join(f'"{each.gossip}"' for each in self._layout.places[:GOSSIP_SEEDS])
+        keys = home / "own.keys"
+        (home / "operators.toml").write_text(
+            f'[gossip]\nkeys = "{keys}"\nlisten = "{place.gossip}"\nseeds = [{seeds}]\n'
+        )
+        return True
+
+    def _own(self, place: Place, listen: str, operators: bool) -> str:
+        plan = self._plan
+        real = max(1, plan.real.instances + plan.real.plain)
+        ordinal = place.member % real
+        lines = [
+            f'name = "{place.name}"',
+            f'listen = "{listen}"',
+            f'hall = "{place.zone}"',
+            f"instances = {real}",
+            f"ordinal = {ordinal}",
+        ]
+        lines += [f'control = "{CONTROL_SOCKET}"'] if place.role is not Role.FOLLOWER else []
+        lines += ['operators = "operators.toml"'] if operators else []
+        lines += ["[log]", 'form = "json"', "per_event_per_s = 1000", self._source(place), self._classes()]
+        return "\n".join(lines)
+
+    def _source(self, place: Place) -> str:
+        if place.role is Role.PLAIN:
+            return f'[servers]\nfile = "{self.first}"'
+        return (
+            f'[agreement]\nkeys = "own.keys"\nlisten = "{place.agreement}"\nfirst = "{self.first}"\n'
+            f'keep = "{KEPT}"\nlease_ms = {self._plan.lease_ms}\n{self._seats}'
+        )
+
+    def _classes(self) -> str:
+        deadline = self._plan.real.deadline_ms
+        times = f"aim_ms = {0.6 * deadline}\ndeadline_ms = {deadline}"
+        return (
+            f'[[class]]\nname = "{KEYED}"\neffect = "keyed"\ngroup = "cell"\nwindow_ms = 1200.0\n{times}\n'
+            f'worth = 3\n[[class]]\nname = "{UNSAFE}"\neffect = "unsafe"\n{times}\nworth = 10\n'
+        )
--- /dev/null
+++ b/cedarcross/scale/layout.py
@@ -0,0 +1,145 @@
+"""Who there is in a scale run, and where: members, addresses, zones, and the processes that hold them."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from dataclasses import dataclass, field
+from enum import Enum
+
+from cedarcross.scale.plan import ScalePlan
+
+AGREEMENT_PORT = 7947
+GOSSIP_PORT = 7946
+HOSTS_PER_PART = 250  # of the last number of an address
+FIRST_BLOCK, BLOCKS = 128, 120  # 127.128 to 127.247: drills of the rig have those below
+
+_runs = itertools.count()  # of this process, so that two of them have addresses of their own
+
+
+class Role(Enum):
+    CONTROL = "control machine"
+    FOLLOWER = "hollow follower"
+    REAL = "real instance"
+    PLAIN = "real instance without control"
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """One instance: its number in the agreement, where it stands and where it listens."""
+
+    name: str
+    member: int
+    role: Role
+    region: str
+    zone: str
+    host: str
+
+    @property
+    def agreement(self) -> str:
+        return f"{self.host}:{AGREEMENT_PORT}"
+
+    @property
+    def gossip(self) -> str:
+        return f"{self.host}:{GOSSIP_PORT}"
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A process, and the instances in it. All of them stand in one zone."""
+
+    name: str
+    role: Role
+    places: tuple[Place, ...]
+
+    @property
+    def described(self) -> str:
+        if len(self.places) == 1:
+            return self.places[0].name
+        return f"{self.name} ({self.places[0].name} to {self.places[-1].name})"
+
+
+@dataclass
+class Layout:
+    """Numbers members from 1: control machines first, then followers, then real instances."""
+
+    plan: ScalePlan
+    hosts: list[Host] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._block = FIRST_BLOCK + (os.getpid() + 37 * next(_runs)) % BLOCKS
+        self._member = 0
+        self._add_control()
+        self._add_followers()
+        self._add_real()
+
+    @property
+    def places(self) -> list[Place]:
+        return [place for host in self.hosts for place in host.places]
+
+    def of(self, *roles: Role) -> list[Host]:
+        return [host for host in self.hosts if host.role in roles]
+
+    def helper_count(self) -> int:
+        """Processes of servers, clients, authors and discovery."""
+        real = self.plan.real.instances + self.plan.real.plain
+        clients = -(-real // self.plan.real.per_client)
+        return 1 + clients + (self.plan.real.servers if real else 0) + int(self.plan.hollow.discovery)
+
+    def process_count(self) -> int:
+        return len(self.hosts) + self.helper_count()
+
+    def spare_host(self) -> str:
+        """The address of emulated servers, clients and discovery, which no instance has."""
+        return f"127.{self._block}.255.1"
+
+    def _place(self, name: str, role: Role, region: str, zone: str) -> Place:
+        self._member += 1
+        part, host = divmod(self._member - 1, HOSTS_PER_PART)
+        return Place(name, self._member, role, region, zone, f"127.{self._block}.{part}.{host + 1}")
+
+    def _add_control(self) -> None:
+        number = 0
+        for region in self.plan.region:
+            for nth in range(region.control):
+                zone = region.zones[nth % len(region.zones)]
+                place = self._place(f"control-{number}", Role.CONTROL, region.name, zone)
+                self.hosts.append(Host(place.name, Role.CONTROL, (place,)))
+                number += 1
+
+    def _add_followers(self) -> None:
+        zones: list[list[Place]] = []
+        for region in self.plan.region:
+            for nth, zone in enumerate(region.zones):
+                count = len(range(nth, region.instances, len(region.zones)))
+                zones.append(
+                    [self._place(f"{zone}-{n}", Role.FOLLOWER, region.name, zone) for n in range(count)]
+                )
+        for zone_places in self._take_apart(zones):
+            self._add_zone(zone_places)
+
+    def _take_apart(self, zones: list[list[Place]]) -> list[list[Place]]:
+        """Some of them, from zones in turn, have a process of their own."""
+        left = self.plan.apart
+        while left:
+            for places in zones:
+                if left and len(places) > 1:
+                    place = places.pop()
+                    self.hosts.append(Host(f"alone-{place.name}", Role.FOLLOWER, (place,)))
+                    left -= 1
+        return zones
+
+    def _add_zone(self, places: list[Place]) -> None:
+        size = self.plan.hollow.per_process
+        count = -(-len(places) // size)
+        for nth in range(count):
+            some = tuple(places[nth::count])
+            self.hosts.append(Host(f"hollow-{places[0].zone}-{nth}", Role.FOLLOWER, some))
+
+    def _add_real(self) -> None:
+        zones = [(region.name, zone) for region in self.plan.region for zone in region.zones]
+        for number in range(self.plan.real.instances + self.plan.real.plain):
+            role = Role.REAL if number < self.plan.real.instances else Role.PLAIN
+            region, zone = zones[number % len(zones)]
+            place = self._place(f"real-{number}", role, region, zone)
+            self.hosts.append(Host(place.name, role, (place,)))
