Play gossip and discovery in the small scale run, and tell lags from a starved machine

A run whose processes had no core for most of the time was told as failed by an instance that lags, and 57 instances in a process were late by a second of their own making when five changes of a list of 65 came at once.

Late or silent instances fail the run by name unless half of the processes had no core for a quarter of the time: then it is refused, by name as well; a death always fails.

--- a/cedarcross/scale/fleet.py
+++ b/cedarcross/scale/fleet.py
@@ -10,6 +10,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from statistics import median
 from typing import Any
 
 from cedarcross.agreement.source import take_seat
@@ -33,13 +34,18 @@
 LATE_MEAN_S = 0.1  # of a process's own timers; past these it lags
 LATE_WORST_S = 1.0
 MEAN_TICKS = 50  # before a mean is one
+STARVED_SHARE = 0.25  # of the time without a core, in the median of the processes: a busy machine
 BLAME_SHARE = 0.5  # of the lateness: if it ran for so much of it, it has too much to do
 TMPFS = Path("/dev/shm")
 TMPFS_PREFIX = "cedarcross-scale-"
 
 
 class HollowLost(RuntimeError):
-    """A hollow instance died, lags or does not report. The text names it."""
+    """A hollow instance died, or can't begin. The text names it."""
+
+
+class HollowLags(RuntimeError):
+    """A hollow instance lags, does not report or does not come to decide. The text names it."""
 
 
 class HollowProcess(Helper):
@@ -103,7 +109,7 @@
     def judge(self, host: Host, late: Json, ran_s: float) -> str:
         """`late`: since the last report; `ran_s`: processor time since then. Returns "" if it is in time, or
         how late it is where it stood waiting: for a core or a disk, which is the machine's doing. Raises
-        HollowLost where it ran meanwhile: then it has too much to do."""
+        HollowLags where it ran meanwhile: then it has too much to do."""
         self.sum_s += late["sum_s"]
         self.ticks += late["ticks"]
         self.ran_s += ran_s
@@ -115,7 +121,7 @@
         else:
             return ""
         if ran >= BLAME_SHARE * of:
-            raise HollowLost(f"{host.described}: timers late by {told}: it lags")
+            raise HollowLags(f"{host.described}: timers late by {told}: it lags")
         return f"{host.described}: timers late by {told}, of which it ran for {min(ran, of):.2f} s"
 
 
@@ -148,6 +154,7 @@
         self._watching: asyncio.Task[None] | None = None
         self._discovery_door: list[Any] | None = None
         self._ran_s: dict[str, float] = {}
+        self._started_s: dict[str, float] = {}
         self._fresh: set[str] = set()  # processes whose next report tells of a start or a stop
         self.judging = False  # lateness counts from the first day on
         self.late: dict[str, HostLateness] = {}
@@ -257,6 +264,7 @@
             self.views.setdefault(place.name, InstanceView())
         try:
             await process.begin()
+            self._started_s[host.name] = time.monotonic()
             paths = [str(self.home(place) / CONFIG) for place in host.places]
             for first in range(0, len(paths), BEGIN_AT_ONCE):
                 some = paths[first : first + BEGIN_AT_ONCE]
@@ -312,7 +320,7 @@
     # What they tell
 
     async def poll(self) -> None:
-        """Takes the report of each process of hollow instances. Raises HollowLost."""
+        """Takes the report of each process of hollow instances. Raises HollowLost or HollowLags."""
         await asyncio.gather(*(self._report(process) for process in list(self.hollow.values())))
 
     async def _report(self, process: HollowProcess) -> None:
@@ -325,7 +333,8 @@
         except RigError as error:
             if host.name in self.away:
                 return
-            raise HollowLost(f"{host.described}: {error}") from None
+            kind = HollowLags if process.up else HollowLost
+            raise kind(f"{host.described}: {error}") from None
         for name, fields in told["instances"].items():
             self.views[name].take(fields)
         ran_s = max(0.0, told["cpu_s"] - self._ran_s.get(host.name, 0.0))
@@ -337,7 +346,7 @@
             self.busy += [busy] if busy else []
 
     async def watch(self) -> None:
-        """Until it is cancelled. Raises HollowLost or RigError."""
+        """Until it is cancelled. Raises HollowLost, HollowLags or RigError."""
         while True:
             await self.poll()
             self.check_real()
@@ -357,7 +366,7 @@
 
     async def settled(self, within_s: float = READY_S) -> None:
         """Every hollow instance that is up has been seen to decide by the newest version. Not all of them at
-        one moment: on a busy machine leases are late now and then. Raises HollowLost by name."""
+        one moment: on a busy machine leases are late now and then. Raises HollowLags by name."""
         end_s = time.monotonic() + within_s
         seen: set[str] = set()
         newest = 0
@@ -371,12 +380,22 @@
             if not late:
                 return
             if time.monotonic() > end_s:
-                raise HollowLost(
+                raise HollowLags(
                     f"{late[0]}: does not decide by version {newest} after {within_s:g} s, "
                     f"nor do {len(late) - 1} others"
                 )
             await asyncio.sleep(READY_LOOK_S)
 
+    def starved(self) -> float:
+        """The share of the time for which processes of hollow instances were ready to run and had no core, in
+        the median of them, since they were started."""
+        shares = [
+            waited_s(process.pid) / max(1.0, time.monotonic() - self._started_s[name])
+            for name, process in self.hollow.items()
+            if process.up and name in self._started_s
+        ]
+        return median(shares) if shares else 0.0
+
     async def sample(self) -> dict[str, Sample]:
         """Of each process of an instance that is up, by its name."""
         children: dict[str, Child] = {**self.hollow, **self.real}
--- a/cedarcross/scale/plan.py
+++ b/cedarcross/scale/plan.py
@@ -19,13 +19,12 @@
 MOST_S = 3600.0
 
 # Estimates for the refusal, in MB. The measurements behind them are in docs/design/scale.md.
-PROCESS_MB = 48.0  # a Python process with the program's modules, before its first instance
+PROCESS_MB = 60.0  # a Python process with the program's modules, before its first instance
 HOLLOW_MB = 0.35  # a hollow instance, beside its list
 SERVER_MB = 0.002  # a server in an instance's list, parsed
 BODY_KB_PER_SERVER = 0.11  # of a policy file
 BODIES_KEPT = 24  # files of the policy that an instance keeps, on tmpfs for followers
 REAL_MB = 75.0  # a real instance under load
-HELPER_MB = 70.0  # a process of emulated servers, or of clients
 
 DayKind = Literal[
     "quiet", "changes", "restarts", "zone-back", "rack", "control-down", "region-cut", "start-all"
--- a/cedarcross/scale/run.py
+++ b/cedarcross/scale/run.py
@@ -13,7 +13,7 @@
 from cedarcross.rig.process import Json, RigError
 from cedarcross.scale import measure
 from cedarcross.scale.days import Course
-from cedarcross.scale.fleet import Fleet, HollowLost, Sample
+from cedarcross.scale.fleet import STARVED_SHARE, Fleet, HollowLags, HollowLost, Sample
 from cedarcross.scale.layout import Role
 from cedarcross.scale.plan import DayTable, ScalePlan, check_size
 from cedarcross.scale.report import DayReport, Outcome, Report
@@ -45,7 +45,7 @@
         self.report = Report(plan.name, plan.seed, plan.instances, plan.control, real, layout.process_count())
 
     async def play(self) -> None:
-        """Raises HollowLost or RigError."""
+        """Raises HollowLost, HollowLags or RigError."""
         self._say(f"starting {self.report.processes} processes, {self._plan.instances} hollow instances")
         await self.fleet.start()
         watching = asyncio.create_task(self.fleet.watch())
@@ -147,6 +147,13 @@
         report.calls = measure.call_endings(layout, calls)
         return report
 
+    def blamed(self, told: str) -> tuple[Outcome, str]:
+        """Whose doing it is that an instance lags: its own, or that of a machine without a core for it."""
+        starved = self.fleet.starved()
+        if starved < STARVED_SHARE:
+            return "failed", told
+        return "refused", f"{told}; half of the processes had no core for {starved:.0%} of the time"
+
     async def _judge_timers(self) -> None:
         """Where the run's own processes were late, no figure of it counts; all are told all the same."""
         late = self.report.lateness
@@ -175,6 +182,8 @@
     try:
         try:
             await made.play()
+        except HollowLags as lags:
+            report.outcome, report.why = made.blamed(str(lags))
         finally:
             await made.fleet.end()
     except HollowLost as lost:
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -72,6 +72,13 @@
     assert healed is not None and healed.count > 0
 
 
+def test_hollow_instances_take_part_in_gossip_and_follow_discovery(shipped: Report) -> None:
+    day = shipped.days[-2]
+    members, listed = (day.find(name, "hollow follower") for name in (measure.MEMBERS, measure.LISTED))
+    assert members is not None and members.count == 20 and members.most is not None and members.most >= 20
+    assert listed is not None and listed.count == 20 and listed.least == 10
+
+
 def test_the_page_and_the_table_tell_each_budget(shipped: Report, tmp_path: Path) -> None:
     page = tmp_path / "page.html"
     draw(shipped, page)
