--- a/tests/rig/test_layers.py
+++ b/tests/rig/test_layers.py
@@ -15,7 +15,7 @@
 from cedarcross.rig.process import INSIDE, ROOT, Child, states
 
 PROBE = """
-import json, os, socket, sys, time
+import asyncio, json, os, socket, sys, time
 from pathlib import Path
 home = Path(sys.argv[1])
 sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -24,6 +24,11 @@
     os.write(handle, b"x" * 100)
     os.fsync(handle)
     os.close(handle)
+async def dial(host, port):
+    _, writer = await asyncio.wait_for(asyncio.open_connection(host, port), 0.5)
+    writer.write(b"four")
+    await writer.drain()
+    writer.close()
 for line in sys.stdin:
     words = line.split()
     try:
@@ -35,6 +40,8 @@
             os.replace(home / words[1], home / words[2])
         elif words[0] == "send":
             sock.sendto(words[3].encode(), (words[1], int(words[2])))
+        elif words[0] == "dial":
+            asyncio.run(dial(words[1], int(words[2])))
         said = "ok"
     except OSError as error:
         said = str(error.errno)
@@ -121,6 +128,38 @@
     probed(tmp_path, test, bent=True)
 
 
+def test_dials_to_an_address_that_is_cut_hang_and_others_do_not(tmp_path: Path) -> None:
+    async def test(made: Probed) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as one, socket.create_server(("127.0.0.2", 0)) as other:
+            here, there = (f"dial {s.getsockname()[0]} {s.getsockname()[1]}" for s in (one, other))
+            assert (await made.do(here))[0] == "ok"
+            await made.child.order(do="streams", to=["127.0.0.1"], cut=True)
+            assert (await made.do(here))[0] == "None"  # no answer in time, and no refusal
+            said = await made.child.order(do="streams", to=["127.0.0.1"], cut=False)
+            assert said["counts"] == {"stream-cut": 1}
+            await made.child.order(do="streams", to=["127.0.0.1"], cut=True)
+            assert (await made.do(there))[0] == "ok"
+            said = await made.child.order(do="streams", to=["127.0.0.1"], cut=False)
+            assert (await made.do(here))[0] == "ok"
+            assert said["traffic"]["stream_bytes_sent"] == 8
+
+    probed(tmp_path, test)
+
+
+def test_datagrams_and_their_bytes_are_counted_but_for_those_that_are_lost(tmp_path: Path) -> None:
+    async def test(made: Probed) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as port:
+            port.bind(("127.0.0.1", 0))
+            send = f"send 127.0.0.1 {port.getsockname()[1]}"
+            await made.do(f"{send} abc")
+            await made.child.order(do="datagrams", to=["127.0.0.1"], kind="loss", share=1.0)
+            await made.do(f"{send} defgh")
+            said = await made.child.order(do="look")
+            assert said["traffic"] == {"sent": 1, "bytes_sent": 3} and said["counts"] == {"loss": 1}
+
+    probed(tmp_path, test)
+
+
 def test_datagrams_are_lost_doubled_and_swapped_for_one_address_only(tmp_path: Path) -> None:
     async def test(made: Probed) -> None:
         with (
