--- a/cedarcross/scale/fleet.py
+++ b/cedarcross/scale/fleet.py
@@ -13,9 +13,9 @@
 from statistics import median
 from typing import Any
 
+from cedarcross.address import Address
 from cedarcross.agreement.source import take_seat
 from cedarcross.cli.serve import load_serving
-from cedarcross.proxy.config import Address
 from cedarcross.rig.fleet import rack_day
 from cedarcross.rig.helper import Lateness
 from cedarcross.rig.plan import MOST_INSTANCES, FleetTable, LoadTable
--- a/cedarcross/scale/hollow.py
+++ b/cedarcross/scale/hollow.py
@@ -14,18 +14,20 @@
 from pathlib import Path
 from typing import Any
 
+from cedarcross.address import Address, read_address
 from cedarcross.agreement.source import AgreedSource
 from cedarcross.cli.control import Control, Json, Refusal
 from cedarcross.cli.logs import set_up
 from cedarcross.cli.serve import facts, load_serving
+from cedarcross.clock import now_ms
 from cedarcross.config.models import ServeFile
 from cedarcross.config.policy import Policy
+from cedarcross.directory import Directory
 from cedarcross.interface import EndpointsListed
 from cedarcross.membership.gossip import Gossip
 from cedarcross.membership.keys import load_keyring
-from cedarcross.proxy.clock import now_ms
-from cedarcross.proxy.config import Address, Config, read_address
-from cedarcross.proxy.discovery import Directory, Discovery
+from cedarcross.proxy.config import Config
+from cedarcross.proxy.discovery import Discovery
 from cedarcross.rig.helper import Order, serve
 from cedarcross.settings import read_settings
 
