Forget what servers showed after a time of sending nothing, not of hearing nothing

So it goes by what was sent: after 2 s with nothing sent the next answer decides, as trials need it.

--- a/cedarcross/limits/crowding.py
+++ b/cedarcross/limits/crowding.py
@@ -18,8 +18,8 @@
 from cedarcross.interface import Outcome
 
 MEMORY_MS = 6000.0  # what a server told longer ago says nothing of now
-# Where no server has answered for so long, what they showed before says nothing of now. Danger: an instance
-# that sends a trial now and then takes each quick answer for one of ten at a slow server, and is cut by it.
+# Where nothing was sent for so long, what servers showed before says nothing of now. Danger: an instance that
+# sends a trial now and then takes each quick answer for one of ten at a slow server, and is cut by it.
 MUTE_MS = 2000.0
 LOST_GAIN = 0.15  # about the last seven attempts
 MOST_LOST = 0.5  # with a larger share unanswered the servers are behind,
@@ -52,7 +52,8 @@
         self._full = full
         self._seen: dict[str, Seen] = {}
         self._lost = 0.0
-        self._answered_ms = float("-inf")  # when any server answered last
+        self._sent_ms = float("-inf")  # when anything was sent last
+        self._stale = False  # nothing was sent for long before what is out now
 
     def __len__(self) -> int:
         return len(self._seen)
@@ -65,6 +66,11 @@
         for name in [name for name in self._seen if name not in listed]:
             del self._seen[name]
 
+    def sent(self, now_ms: float) -> None:
+        """An attempt went out."""
+        self._stale = self._stale or (bool(self._seen) and now_ms - self._sent_ms > MUTE_MS)
+        self._sent_ms = now_ms
+
     def told(
         self, now_ms: float, server: str, outcome: Outcome, slowness: float, report: tuple[float, ...] | None
     ) -> float | None:
@@ -80,9 +86,9 @@
         if outcome is not Outcome.OK:
             return None
         self._lost -= LOST_GAIN * self._lost
-        if now_ms - self._answered_ms > MUTE_MS and self._seen:
+        if self._stale:
             self._seen = {server: Seen(now_ms, slowness=slowness)}
-        self._answered_ms = now_ms
+            self._stale = False
         seen = self._seen.get(server)
         if seen is None:
             seen = self._seen[server] = Seen(now_ms)
--- a/cedarcross/limits/overload.py
+++ b/cedarcross/limits/overload.py
@@ -119,6 +119,7 @@
 
     def sent(self, now_ms: float, endpoint: ListedEndpoint, asking: Asking) -> None:
         self.window.sent(now_ms, asking.work)
+        self.crowding.sent(now_ms)
 
     def ended(
         self,
--- a/tests/limits/test_crowding.py
+++ b/tests/limits/test_crowding.py
@@ -89,12 +89,23 @@
     assert len(made) == 1
 
 
-def test_after_a_silence_the_first_answer_tells_how_servers_are_now() -> None:
+def test_after_a_time_of_sending_nothing_the_first_answer_tells_how_servers_are_now() -> None:
     # A quick answer counted as one of ten, and servers that were slow before looked slow for ten more.
     made = Crowding((), 5.0)
+
+    def ask(now_ms: float, server: str, slowness: float) -> float:
+        made.sent(now_ms)
+        told = made.told(now_ms + 1.0, server, Outcome.OK, slowness, None)
+        assert told is not None
+        return told
+
     for step in range(50):
-        made.told(step * 10.0, "a", Outcome.OK, 8.0, None)
-    assert made.told(500.0 + MUTE_MS, "a", Outcome.OK, 1.0, None) == pytest.approx(1.0)
-    slow = made.told(501.0 + 2 * MUTE_MS, "b", Outcome.OK, 8.0, None)
-    assert slow == pytest.approx(8.0, rel=0.11)
-    assert made.told(502.0 + 2 * MUTE_MS, "b", Outcome.OK, 1.0, None) == pytest.approx(7.3, rel=0.11)
+        ask(step * 10.0, "a", 8.0)
+    assert ask(500.0 + MUTE_MS, "a", 1.0) == pytest.approx(1.0)
+    assert ask(502.0 + 2 * MUTE_MS, "b", 8.0) == pytest.approx(8.0, rel=0.11)
+    assert ask(504.0 + 2 * MUTE_MS, "b", 1.0) == pytest.approx(7.3, rel=0.11)
+    # While attempts go out unanswered nothing is forgotten.
+    for step in range(40):
+        made.sent(10_000.0 + step * 100.0)
+    made.told(10_000.0, "b", Outcome.OK, 8.0, None)
+    assert made.told(14_000.0, "b", Outcome.OK, 1.0, None) == pytest.approx(7.3, rel=0.11)
