Count a request's time from when it came, not from when it was read

Found by review: X-Expires-In-Ms to a host and the guard before a deadline went by the moment of reading. Requests sent ahead of their turn stayed in the system's hands while one was busy (front.py, _hold_back), and got all of their time when the ones before had their answers; so did what came while the process was stopped.

Reading goes on up to 32 requests or 64 KiB ahead; what the system holds past that counts from the pause; after a stop the system is asked when the last bytes came (TCP_INFO), within the stop. What a pause saw nothing of is not counted.

--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -28,6 +28,7 @@
 # Read in one go, hundreds of requests would be queued whole: past so many the rest stays as it came, and is
 # parsed by pieces of this size.
 MAX_AHEAD, PIECE = 32, 4096
+AHEAD_READ = 64 * 1024  # bytes ahead of their turn, past which a connection is not read further
 # From its opening, or the first byte of a further request, until the request is whole; and for a last
 # answer to be taken. Clients send at once: who has sent nothing, or half, by then is owed an end.
 PATIENCE_MS = 2000.0
@@ -96,9 +97,10 @@
 
 
 def read_request(
-    method: bytes, target: bytes, headers: Headers, body: bytes, settings: Settings
+    method: bytes, target: bytes, headers: Headers, body: bytes, settings: Settings, came_ms: float
 ) -> ClientRequest:
-    """Raises BadRequest for what is not in the protocol's form: no host could use it."""
+    """`came_ms`: when its last byte had come. Raises BadRequest for what is not in the protocol's form: no
+    host could use it."""
     named: dict[bytes, bytes] = {}
     passed_on: Headers = []
     for header in headers:
@@ -131,7 +133,7 @@
         target=target,
         headers=passed_on,
         body=body,
-        read_ms=now_ms(),
+        read_ms=came_ms,
         class_name=class_name,
         # No client waits longer than its class's deadline, whatever it says.
         expires_in_ms=min(cls.deadline_ms, expires_in_ms) if expires_in_ms is not None else None,
@@ -175,6 +177,8 @@
         self.writable = True
         self._phase = Phase.OPEN
         self._unread = b""  # come, but not yet parsed
+        self._came_ms = 0.0  # when it came, at the earliest
+        self._waits_since_ms: float | None = None  # bytes that the system holds have come since then
         self._dropped = 0  # bytes that came after the last request
         self._counted = 0  # bytes of it in the front's count of what waits
         self._read = 0  # bytes of the message under way
@@ -211,7 +215,7 @@
         # A cast, not a check: the transports of uvloop do not derive from asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
-        self._peer = Peer(sock.fileno()) if sock is not None else None  # none on a network in memory
+        self._peer = Peer(sock) if sock is not None else None  # none on a network in memory
         self._front.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -229,6 +233,8 @@
         if self._phase is not Phase.OPEN:
             self._drop(data)
             return
+        if not self._unread:
+            self._came_ms = self._came_since_ms()
         self._unread += data
         if self._front.catching_up():
             # Danger: after a stop, a thousand requests whose clients have long gone are sent to servers, and
@@ -237,6 +243,22 @@
         else:
             self._go_on()
 
+    def _came_since_ms(self) -> float:
+        """When what has just been read had come, as far as is known. Danger: counted from the moment of
+        reading, what had waited in the system's hands is given more time than its client has left."""
+        since_ms, stood_ms = self._waits_since_ms, self._front.stood_since_ms()
+        if since_ms is not None:
+            self._forget_wait()
+            return since_ms
+        if stood_ms is not None and self._peer is not None:
+            return max(stood_ms, now_ms() - self._peer.quiet_ms())
+        return now_ms()
+
+    def _forget_wait(self) -> None:
+        """Once the system holds nothing more, what comes next has just come."""
+        if self._peer is None or not self._peer.has_sent():
+            self._waits_since_ms = None
+
     def _drop(self, data: bytes) -> None:
         """Danger: who sends on and on is read for ever, or never hears the answer that is due to it."""
         self._dropped += len(data)
@@ -286,12 +308,16 @@
         self._go_on()
 
     def _hold_back(self) -> None:
-        """Requests ahead of their turn are not read on and on."""
+        """Requests ahead of their turn are not read on and on, but read as they come: their time counts."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._waiting or self._unread or not self.writable:
+        ahead = len(self._waiting) >= MAX_AHEAD or self._counted > AHEAD_READ or bool(self._unread)
+        if ahead or not self.writable:
+            if self._waits_since_ms is None:
+                self._waits_since_ms = now_ms()
             self._transport.pause_reading()
         elif not self._transport.is_reading():
+            self._forget_wait()
             self._transport.resume_reading()
 
     def _count(self) -> int:
@@ -357,7 +383,9 @@
         request = None
         if (method, self._target) != (b"GET", b"/ready"):
             body = b"".join(self._body)
-            request = read_request(method, self._target, self._headers, body, self._front.settings)
+            request = read_request(
+                method, self._target, self._headers, body, self._front.settings, self._came_ms
+            )
             self._front.open_id(request.trace_id)
         self._waiting.append((request, None))
         if not self._parser.should_keep_alive():
@@ -495,6 +523,7 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._behind_ms = 0.0  # until then it catches up after a stop
+        self._stood_since_ms = 0.0  # when that stop began, at the earliest
         self._ahead = 0  # bytes that wait for their turn, on all connections
         self._changed = asyncio.Event()  # a connection has moved on, or closed
 
@@ -599,6 +628,10 @@
         """Has the process stood still just now?"""
         return bool(self._behind_ms) and now_ms() < self._behind_ms
 
+    def stood_since_ms(self) -> float | None:
+        """When the stop that it catches up after began, at the earliest; None: there was none just now."""
+        return self._stood_since_ms if self.catching_up() else None
+
     def _sweep_later(self) -> None:
         due_ms = now_ms() + 1000.0 * SWEEP_S
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep, due_ms)
@@ -610,6 +643,7 @@
         if stood_ms > 1000.0 * STALL_S:
             log.warning("stood still for %.1f s", stood_ms / 1000.0)
             self._behind_ms = now_ms() + 1000.0 * CATCH_UP_S
+            self._stood_since_ms = due_ms - 1000.0 * SWEEP_S
         self._forget_ids()
         late_ms = now_ms() - PATIENCE_MS
         for state, end in (
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -215,7 +215,7 @@
         if when == "before the move":
             transport.pause_reading()
             registry.say(registry.change(entry(A, change)))
-            peer = Peer(transport.get_extra_info("socket").fileno())
+            peer = Peer(transport.get_extra_info("socket"))
             await until(peer.has_sent)
             transport.resume_reading()
         told.discovery.move(("127.0.0.1", elsewhere.port))
