Take requests in every form of HTTP/1.1 that hosts can be given unchanged

Found by review of front.py and messages.py: - a target that is a whole URL was answered 400 (RFC 9112, 3.2.2: it has to be taken); its path and query go on; - what trails a chunked body was taken for headers, so a second X-Trace-Id there was answered 400; - spaces and tabs after a value went on to hosts as a part of it; - Connection: Idempotency-Key kept the key from the host, which would run a repeat twice; so it was with X-Trace-Id.

--- a/cedarcross/proxy/front.py
+++ b/cedarcross/proxy/front.py
@@ -67,9 +67,19 @@
 # Hosts close on what they can't read, and what else waits there goes with it.
 UNREADABLE_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 FIGURE = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+ABSOLUTE_FORM = re.compile(rb"https?://[^/?#]*", re.IGNORECASE)
 UNREADABLE_TARGET = re.compile(rb"[^\x21-\x7e]")
 
 
+def origin_form(target: bytes) -> bytes:
+    """The path and query of a target, which may be a whole URL (RFC 9112, 3.2.2)."""
+    found = ABSOLUTE_FORM.match(target)
+    if found is None:
+        return target
+    rest = target[found.end() :]
+    return rest if rest.startswith(b"/") else b"/" + rest
+
+
 class BadRequest(ValueError):
     """Not a request that can be taken; nothing of it has run."""
 
@@ -342,7 +352,8 @@
         self._size += len(name) + len(value)
         if self._size > MAX_HEADERS:
             raise BadRequest(431, "headers too large")
-        self._headers.append((name, value))
+        if self._in_head:  # what trails a chunked body is none of the request's headers (RFC 9110, 6.5.1)
+            self._headers.append((name, value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         self._in_head = False
@@ -381,6 +392,7 @@
         self._asked = True
         method: bytes = self._parser.get_method()
         request = None
+        self._target = origin_form(self._target)
         if (method, self._target) != (b"GET", b"/ready"):
             body = b"".join(self._body)
             request = read_request(
--- a/cedarcross/proxy/messages.py
+++ b/cedarcross/proxy/messages.py
@@ -24,6 +24,9 @@
     )
 )
 
+# These go on whatever `Connection` says: a host drops a repeat by its key, and knows a request by its id.
+ALWAYS_PASSED_ON = frozenset((b"x-trace-id", b"idempotency-key"))
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -41,6 +44,7 @@
             kept.append((name, value))
     if named is None:  # as most messages have it: one look at each header
         return kept
+    named -= ALWAYS_PASSED_ON
     return [(name, value) for name, value in kept if name.lower() not in named]
 
 
@@ -52,7 +56,7 @@
     target: bytes
     headers: Headers
     body: bytes
-    read_ms: float  # when its last byte was read
+    read_ms: float  # when its last byte had come, as far as is known
     class_name: str
     expires_in_ms: float | None = None
     tenant: str | None = None
