End a scale run by itself when its time is over

On a machine at a load of 50 the large run took 747 s, as each wait that a starved fleet fails costs two minutes; it has to end within ten minutes.

--- a/cedarcross/scale/plan.py
+++ b/cedarcross/scale/plan.py
@@ -104,6 +104,9 @@
     seed: int = Field(1, ge=0, description="of all that is drawn")
     lease_ms: float = Field(3000.0, ge=200, le=600_000, description="of the agreement")
     memory_mb: float = Field(0.0, ge=0, description="memory that it may take; 0: half of the machine's")
+    most_s: float = Field(
+        580.0, gt=0, le=MOST_S, description="the run ends by itself after this at the latest"
+    )
     region: tuple[RegionTable, ...] = Field(max_length=20)
     hollow: HollowTable = Field(default_factory=HollowTable)
     real: RealTable = Field(default_factory=RealTable)
@@ -119,6 +122,8 @@
         names = [region.name for region in self.region]
         if len(set(zones)) != len(zones) or len(set(names)) != len(names):
             raise ValueError("region: two regions or zones have one name")
+        if sum(day.length_s for day in self.day) >= self.most_s:
+            raise ValueError("most_s: the days are longer")
         for region in self.region:
             if region.instances < len(region.zones):
                 raise ValueError(f"region.instances: {region.name}: fewer than its zones")
--- a/cedarcross/scale/run.py
+++ b/cedarcross/scale/run.py
@@ -39,6 +39,7 @@
 
     def __init__(self, plan: ScalePlan, folder: Path, say: Say) -> None:
         self._plan, self._say = plan, say
+        self._end_s = time.monotonic() + plan.most_s
         self.fleet = Fleet(plan, folder)
         layout = self.fleet.layout
         real = plan.real.instances + plan.real.plain
@@ -51,10 +52,14 @@
         watching = asyncio.create_task(self.fleet.watch())
         days = asyncio.create_task(self._days())
         try:
-            await asyncio.wait({watching, days}, return_when=asyncio.FIRST_COMPLETED)
+            left_s = self._end_s - time.monotonic()
+            await asyncio.wait({watching, days}, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
             for task in (watching, days):
                 if task.done():
                     task.result()
+            if not days.done():
+                done = len(self.report.days)
+                raise HollowLags(f"{done} of {len(self._plan.day)} days ended within {self._plan.most_s:g} s")
         finally:
             watching.cancel()
             days.cancel()
--- a/tests/scale/test_faults.py
+++ b/tests/scale/test_faults.py
@@ -103,6 +103,24 @@
     assert outcome == "refused" and why.startswith("a-0: it lags") and "50%" in why
 
 
+def test_a_run_ends_by_itself_when_its_time_is_over(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def end(fleet: Fleet) -> None:
+        made[0]._end_s = time.monotonic() + 1.0
+
+    made: list[runs.Run] = []
+
+    class Caught(runs.Run):
+        def __init__(self, *words: object) -> None:
+            super().__init__(*words)  # type: ignore[arg-type]
+            made.append(self)
+
+    monkeypatch.setattr(runs, "Run", Caught)
+    report, fleet = played(small(LONG), tmp_path, monkeypatch, on_start=end)
+    assert report.outcome in ("failed", "refused")
+    assert "0 of 1 days ended within" in report.why
+    assert not left(fleet)
+
+
 def host() -> Host:
     return Host("h", Role.FOLLOWER, (Place("a-0", 1, Role.FOLLOWER, "r", "a", "127.0.0.1"),))
 
--- a/tests/scale/test_plan.py
+++ b/tests/scale/test_plan.py
@@ -53,6 +53,7 @@
             "memory_mb: ",
         ),
         (file_text().replace('kind = "quiet"\n', ""), "day.0.kind: missing"),
+        ("most_s = 4.0\n" + file_text(), "most_s: the days are longer"),
         ("memory_mb = 100.0\n" + file_text(), "memory_mb: about "),
     ],
 )
@@ -74,7 +75,7 @@
     large = plans.load(ROOT / "examples/scale/two-years.toml")
     zones = [zone for region in large.region for zone in region.zones]
     assert (large.instances, len(large.region), len(zones), large.control) == (680, 3, 6, 5)
-    assert large.real.instances >= 8
+    assert large.real.instances >= 8 and large.most_s <= 600.0
     assert {day.kind for day in large.day} == {"quiet", "changes", "region-cut"}
     assert next(day for day in large.day if day.kind == "region-cut").lasts_s == 180.0
 
