--- a/tests/test_time_told.py
+++ b/tests/test_time_told.py
@@ -15,8 +15,8 @@
 
 import pytest
 
+from cedarcross.clock import driven
 from cedarcross.interface import TimerFired
-from cedarcross.proxy.clock import driven
 from cedarcross.proxy.front import MAX_AHEAD, ClientConnection
 from tests.sockets import (
     KEYED_CLASS,
