Count a version that says the same as the one before as decided by, in scale runs

At 680 hollow instances a change that was given up was finished by a seat, its author proposed the same again, and 43 instances counted as never deciding by it: what says the same is not adopted anew. The test was seen to fail without.

--- a/cedarcross/scale/authors.py
+++ b/cedarcross/scale/authors.py
@@ -74,7 +74,11 @@
         try:
             status = (await self._ask(do="status"))["agreement"]
             body = self._home / KEPT / f"body-{status['digest']}"
-            text = changed_policy(body.read_text(), self._change.service, self._number)
+            newest = body.read_text()
+            text = changed_policy(newest, self._change.service, self._number)
+            if text == newest:
+                # A seat that had voted for it has finished what was given up.
+                return Try(asked_s, time.monotonic(), "decided", "by a seat", status["newest"])
             file = self._folder / f"{self._change.name}-{nth}.toml"
             file.write_text(text)
             name = f"{self._change.name}-{nth}"
--- a/cedarcross/scale/hollow.py
+++ b/cedarcross/scale/hollow.py
@@ -57,7 +57,7 @@
         # after a time without.
         self.switches: list[tuple[float, int]] = []
         self.without_lease_s = 0.0
-        self._leased = False
+        self._seen = 0  # the version that decided when it was last looked at, or switched
         self._directory = Directory()
         check_free(read_address(table.listen))
         try:
@@ -99,13 +99,14 @@
             self._control.close()
 
     def look(self, at_s: float, since_s: float) -> None:
-        """Has it a lease? That it has one again counts as a switch."""
+        """Has it a lease? That it has one again counts as a switch, and so does a version that says the same
+        as the one before, which is not adopted anew."""
         version = self.decides_by
         if not version:
             self.without_lease_s += since_s
-        elif not self._leased:
+        elif version != self._seen:
             self.switches.append((at_s, version))
-        self._leased = version > 0
+        self._seen = version
 
     @property
     def decides_by(self) -> int:
@@ -129,6 +130,7 @@
         version = self.source.node.holder.version
         if version is not None:
             self.switches.append((time.monotonic(), version.number))
+            self._seen = version.number
 
     def _status(self, _: Json) -> Json:
         return {"agreement": self.source.status()}
--- a/tests/scale/test_measure.py
+++ b/tests/scale/test_measure.py
@@ -7,6 +7,7 @@
 from cedarcross.rig.process import ROOT
 from cedarcross.scale import measure
 from cedarcross.scale.fleet import InstanceView, Sample
+from cedarcross.scale.hollow import HollowInstance
 from cedarcross.scale.layout import Host, Layout, Place, Role
 from cedarcross.scale.measure import Absence
 from cedarcross.scale.plan import load
@@ -116,3 +117,17 @@
         "refused (its body can't be had)": 2,
         "another's": 1,
     }
+
+
+def test_a_version_counts_as_decided_by_also_where_it_says_the_same_as_the_one_before() -> None:
+    class Looked(HollowInstance):
+        decides_by = 0
+
+        def __init__(self) -> None:
+            self.switches, self.without_lease_s, self._seen = [], 0.0, 0
+
+    instance = Looked()
+    for at_s, version in ((1.0, 1), (2.0, 1), (3.0, 0), (4.0, 1), (5.0, 2)):
+        instance.decides_by = version
+        instance.look(at_s, 1.0)
+    assert instance.switches == [(1.0, 1), (4.0, 1), (5.0, 2)] and instance.without_lease_s == 1.0
