Measure a chain of up to 26 levels on real processes, with proxies and without

Need: whether 26 retry budgets multiply, what depth adds and what is left of the deadline was reading only.

--- a/benchmarks/scale/catalogue.py
+++ b/benchmarks/scale/catalogue.py
@@ -30,6 +30,7 @@
     control_machine.COST,
     services.COST,
     depth.COST,
+    depth.WITHOUT_PROXIES,
     burst.COST,
     authors.COST,
     overtaken.COST,
--- a/tests/scale_costs/test_costs.py
+++ b/tests/scale_costs/test_costs.py
@@ -127,6 +127,10 @@
     assert 0.0 < found["left"] <= depth.DEADLINE_MS
 
 
+def test_a_chain_without_proxies() -> None:
+    check(depth.WITHOUT_PROXIES, depth.measure_without_proxies(1, calls=4))
+
+
 def test_the_data_path() -> None:
     try:
         found = data_path_cost.measure(10, calls_per_s=40.0, length_s=0.5)
