--- a/benchmarks/capacity/failures.py
+++ b/benchmarks/capacity/failures.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from benchmarks.capacity.formulas import force, force_third_down
+from benchmarks.capacity.formulas import force, force_third_down, region_refused
 from benchmarks.capacity.plan import SIZES
 from benchmarks.capacity.slopes import NotMeasured, Slopes
 
@@ -80,7 +80,7 @@
     Failure(
         "a region cut off for three minutes, without a majority",
         "every call there, or the promise of one version with `stale = \"serve\"`",
-        ("region_refused_s",), _run("region_refused_s"), "of 180 s",
+        ("region_cut.refused_inside",), lambda s: region_refused(SIZES, s), "of 180 s",
         "the lease, `cedarcross/agreement/holder.py`; nothing bounds the rest",
     ),
     Failure(
--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -292,6 +292,10 @@
 
 
 def region_refused(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.at("region_cut.refused_inside", sizes.region_cut_s)
+
+
+def region_refused_real(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.run("region_refused_s")
 
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -361,10 +361,16 @@
     ),
     Row(
         "Regions", Role.CONTROL_MACHINE, Kind.TIME,
-        "length of the cut - lease, in a region without a majority", "s in which every call is refused",
-        formulas.region_refused, ("region_refused_s",), None, True, ONE_GROUP,
+        "slope by seconds of the cut x 180 s - lease, in a region without a majority",
+        "s in which every call is refused",
+        formulas.region_refused, ("region_cut.refused_inside",), None, True, ONE_GROUP,
         Claim("a region without a majority refuses everything for minutes", lambda s: s >= 60),
     ),
+    Row(
+        "Regions, real instances", Role.CONTROL_MACHINE, Kind.TIME,
+        "measured in a region that is cut off for 180 s", "s without a lease at most",
+        formulas.region_refused_real, ("region_refused_s",), None, True, ONE_GROUP,
+    ),
     Row(
         "Change, real instances, last that is up", Role.CONTROL_MACHINE, Kind.TIME,
         "measured at 680 instances", "ms",
--- a/tests/scale_costs/test_costs.py
+++ b/tests/scale_costs/test_costs.py
@@ -16,6 +16,7 @@
     gossip_table,
     lists,
     overtaken,
+    region_cut,
     rollout,
     services,
     signatures,
@@ -88,6 +89,15 @@
     assert 0.0 < found["refused"] < 1.0
 
 
+def test_a_region_that_is_cut_off_refuses_once_its_leases_have_ended() -> None:
+    found = region_cut.measure(10)
+    check(region_cut.COST, found)
+    assert 10.0 - 3.0 <= found["refused_inside"] <= 10.0
+    assert found["refused_outside"] == 0.0
+    assert (found["decided_outside"], found["decided_inside"]) == (1.0, 0.0)
+    assert found["by_one_version"] == 1.0
+
+
 def test_a_rollouts_file_holds_two_policies() -> None:
     found = rollout.measure(34, servers=10, seconds=2)
     check(rollout.COST, found)
