--- a/benchmarks/capacity/formulas.py
+++ b/benchmarks/capacity/formulas.py
@@ -291,6 +291,10 @@
     return slopes.at("lease.control_sent", SHORT_LEASE_MS) * slopes.at("signature.sign", ASKED_BYTES) / 1e6
 
 
+def leases_while_authors_compete(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.run("leases_while_authors_compete")
+
+
 def region_refused(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.at("region_cut.refused_inside", sizes.region_cut_s)
 
@@ -336,6 +340,10 @@
     return slopes.at("list.policy_bytes", sizes.hosts)
 
 
+def body_refusals(sizes: Sizes, slopes: Slopes) -> float:
+    return slopes.run("body_refusals")
+
+
 def author_memory(sizes: Sizes, slopes: Slopes) -> float:
     return slopes.run("author_memory")
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -16,6 +16,7 @@
 SIGNATURES = Mechanism("Ed25519 on each answer of a control machine", "cedarcross/agreement/carrier.py")
 READING = Mechanism("tomllib and pydantic, in the event loop", "cedarcross/config/policy.py")
 FAN_OUT = Mechanism("the author asks and tells everybody itself", "cedarcross/agreement/node.py")
+FETCHERS = Mechanism("32 readers of a body at a time", "cedarcross/agreement/carrier.py")
 RECEIVE_BUFFER = Mechanism("64 KiB of receive buffer, asked again later", "cedarcross/membership/link.py")
 ONE_GROUP = Mechanism("one group of control machines over all regions", "cedarcross/agreement/voter.py")
 AFTER = Mechanism("`--after`: made from the newest version", "cedarcross/agreement/source.py")
@@ -359,6 +360,11 @@
         formulas.fitting_lease_core, ("control_machine.cpu", "change.third_down_last", "list.policy_read"),
         lambda b: b.control_machine_core, False, SIGNATURES,
     ),
+    Row(
+        "Leases while authors compete", Role.CONTROL_MACHINE, Kind.TIME,
+        "a control machine that has voted grants nothing until that is decided", "s without a lease",
+        formulas.leases_while_authors_compete, ("leases_while_authors_compete",), None, True, BALLOTS,
+    ),
     Row(
         "Regions", Role.CONTROL_MACHINE, Kind.TIME,
         "slope by seconds of the cut x 180 s - lease, in a region without a majority",
@@ -412,6 +418,12 @@
         formulas.author_core, ("signature.sign", "list.policy_read"), lambda b: b.control_machine_core, False,
         FAN_OUT,
     ),
+    Row(
+        "Change, bodies refused", Role.AUTHOR, Kind.MESSAGES,
+        "32 handed out at a time, the rest are closed on; one instance without the body refuses the change",
+        "% of the proposals",
+        formulas.body_refusals, ("body_refusals",), None, False, FETCHERS,
+    ),
     Row(
         "File of a change", Role.AUTHOR, Kind.STATE,
         "bytes of the file, 680 servers", "bytes",
