--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -113,7 +113,7 @@
     Row(
         "Depth, added time", Role.DATA_PATH, Kind.TIME,
         "26 levels with proxies - the same services without; budget 26 x 0.87 ms",
-        "ms in the median, least round: 99 in 100 take more",
+        "ms in the median, least round; the 99th percentile is higher",
         formulas.depth_added_p50, ("depth.added_p50", "chain_without_proxies.added_p50"),
         lambda b: 26 * b.added_p99_ms, False, EVENT_LOOP,
         Claim("26 times the added time, over the budget", lambda ms: ms > 26 * 0.87),
