Read requests in a module of their own, and word answers beside the messages

Moved as they were. Checked: the tests of front, forms, lingering, told time, noise, growth and generations pass.

--- a/cedarcross/proxy/messages.py
+++ b/cedarcross/proxy/messages.py
@@ -29,6 +29,21 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
 
 def end_to_end(headers: Headers, but: Collection[bytes] = ()) -> Headers:
     """The headers that may be passed on, without those that `Connection` names, and without `but` (names in
@@ -93,3 +108,13 @@
     status: int
     headers: Headers
     body: bytes
+
+
+def answer_bytes(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
+    """An answer as it goes to a client. `close`: it is the last on its connection."""
+    lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Unknown"))]
+    lines += [name + b": " + value for name, value in headers]
+    lines.append(b"Content-Length: %d" % len(body))
+    if close:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -10,8 +10,8 @@
 import pytest
 
 from cedarcross.interface import EndpointState
-from cedarcross.proxy.front import origin_form
 from cedarcross.proxy.messages import ClientRequest
+from cedarcross.proxy.requests import origin_form
 from tests.sockets import (
     KEYED_CLASS,
     UNSAFE_CLASS,
