Tell a hollow process's death from silence, and keep scale runs out of each other's way

Under four pytest workers: a killed process counted as silent, as the system tells its death a moment after its pipes end; control sockets in a long folder had paths past 108 bytes; two runs could draw the same addresses; each worker played the small file anew. Now a death is waited for, sockets are on tmpfs, a block of addresses is claimed by a listening socket for as long as the run lasts, and the small file is played by one test with all checks.

--- a/cedarcross/scale/authors.py
+++ b/cedarcross/scale/authors.py
@@ -14,7 +14,7 @@
 
 from cedarcross.cli.control import ask
 from cedarcross.rig.helper import Json, Order, serve
-from cedarcross.scale.files import CONTROL_SOCKET, KEPT, changed_policy
+from cedarcross.scale.files import KEPT, changed_policy
 
 LOOK_S = 0.05  # between two looks at what became of a proposal
 ENDS_S = 30.0  # for one proposal to end
@@ -49,8 +49,11 @@
 class Author:
     """Of one change, at one control machine."""
 
-    def __init__(self, change: Change, home: Path, folder: Path, number: int, until_s: float) -> None:
-        self._change, self._home, self._folder = change, home, folder
+    def __init__(
+        self, change: Change, control: Path, home: Path, folder: Path, number: int, until_s: float
+    ) -> None:
+        """`control`, `home`: socket and folder of the control machine. `folder`: for what is proposed."""
+        self._change, self._control, self._home, self._folder = change, control, home, folder
         self._number, self._until_s = number, until_s
         self._random = Random(f"{change.name}/{number}")
 
@@ -67,7 +70,7 @@
             self._change.done = True
 
     async def _ask(self, **question: Any) -> Json:
-        return await asyncio.to_thread(ask, self._home / CONTROL_SOCKET, question)
+        return await asyncio.to_thread(ask, self._control, question)
 
     async def _try(self, nth: int) -> Try:
         asked_s = time.monotonic()
@@ -106,10 +109,12 @@
     tasks: set[asyncio.Task[None]] = set()
 
     async def change(order: Json) -> None:
-        """Begin one: `name`, `author`, `service`, `by` and `home` of the control machine, `until_s`."""
+        """Begin one. `by`, `control`, `home`: name, socket and folder of the control machine. `until_s`: no
+        further try after this."""
         made = Change(order["name"], order["author"], order["service"], order["by"])
         changes.append(made)
-        author = Author(made, Path(order["home"]), Path(order["folder"]), len(changes), order["until_s"])
+        control, home, folder = (Path(order[key]) for key in ("control", "home", "folder"))
+        author = Author(made, control, home, folder, len(changes), order["until_s"])
         task = asyncio.get_running_loop().create_task(author.work())
         tasks.add(task)
         task.add_done_callback(tasks.discard)
--- a/cedarcross/scale/command.py
+++ b/cedarcross/scale/command.py
@@ -55,6 +55,5 @@
 
 
 def _new_folder(out: Path | None, name: str) -> Path:
-    """Short: the paths of sockets in it have a bound of 108 bytes."""
     parent = out if out is not None else Path(tempfile.mkdtemp(prefix="scale-"))
     return parent / f"{name}-{time.strftime('%H%M%S')}"
--- a/cedarcross/scale/days.py
+++ b/cedarcross/scale/days.py
@@ -71,6 +71,7 @@
             service=service,
             by=control,
             home=str(self._fleet.folder / control),
+            control=str(self._fleet.files.control_socket(control)),
             folder=str(self._fleet.folder),
             until_s=self.begin_s + self._day.length_s + MARGIN_S,
         )
--- a/cedarcross/scale/files.py
+++ b/cedarcross/scale/files.py
@@ -14,7 +14,6 @@
 
 FIRST = "policy.toml"
 CONFIG = "serve.toml"
-CONTROL_SOCKET = "control.sock"
 KEPT = "kept"
 GOSSIP_SEEDS = 3
 WEIGHTS = 997  # weights that changes go through, so that each one differs from the one before
@@ -56,8 +55,10 @@
 class Files:
     """Writes them, in a folder for each instance."""
 
-    def __init__(self, plan: ScalePlan, layout: Layout, shared: Path) -> None:
-        self._plan, self._layout, self.first = plan, layout, shared / FIRST
+    def __init__(self, plan: ScalePlan, layout: Layout, shared: Path, sockets: Path) -> None:
+        """`shared`: the folder of the first policy. `sockets`: that of control sockets, whose paths have a
+        bound of 108 bytes."""
+        self._plan, self._layout, self.first, self._sockets = plan, layout, shared / FIRST, sockets
         self._authority = Ed25519(secret_of(plan.seed, "authority"))
         self._seats = "\n".join(self._seat(place) for place in layout.places if place.role is Role.CONTROL)
 
@@ -71,6 +72,10 @@
             f'public = "{public}"\nvotes = true'
         )
 
+    def control_socket(self, name: str) -> Path:
+        """Of the instance of that name."""
+        return self._sockets / f"{name}.sock"
+
     def write(self, place: Place, home: Path, listen: str) -> Path:
         """Returns the path of the instance's own file. `listen`: where its applications reach it."""
         home.mkdir(parents=True, exist_ok=True)
@@ -109,7 +114,7 @@
             f"instances = {real}",
             f"ordinal = {ordinal}",
         ]
-        lines += [f'control = "{CONTROL_SOCKET}"'] if place.role is not Role.FOLLOWER else []
+        lines += [f'control = "{self.control_socket(place.name)}"'] if place.role is not Role.FOLLOWER else []
         lines += ['operators = "operators.toml"'] if operators else []
         lines += ["[log]", 'form = "json"', "per_event_per_s = 1000", self._source(place), self._classes()]
         return "\n".join(lines)
--- a/cedarcross/scale/fleet.py
+++ b/cedarcross/scale/fleet.py
@@ -22,10 +22,11 @@
 from cedarcross.rig.plan import Plan as RigPlan
 from cedarcross.rig.process import Child, Helper, Json, RigError, resident_kb, states, used_s, waited_s
 from cedarcross.scale.files import CONFIG, Files, first_policy
-from cedarcross.scale.layout import Host, Layout, Place, Role
+from cedarcross.scale.layout import Claim, Host, Layout, Place, Role
 from cedarcross.scale.plan import ScalePlan
 
 READY_S = 120.0  # within which all instances have to decide, at the start and after each day
+DEATH_S = 0.5  # for the system to tell that a process has died
 POLL_S = 1.0  # between two reports of a process of hollow instances
 READY_LOOK_S = 0.25
 BEGIN_AT_ONCE = 5  # instances that a process begins by one order, which has to end in time
@@ -138,9 +139,10 @@
 
     def __init__(self, plan: ScalePlan, folder: Path) -> None:
         self.plan, self.folder = plan, folder
-        self.layout = Layout(plan)
-        self.files = Files(plan, self.layout, folder)
+        self._claim = Claim()
+        self.layout = Layout(plan, self._claim.block)
         self.tmpfs = TMPFS / f"{TMPFS_PREFIX}{os.getpid()}-{time.monotonic_ns()}"
+        self.files = Files(plan, self.layout, folder, self.tmpfs)
         self.hollow: dict[str, HollowProcess] = {}
         self.real: dict[str, Child] = {}
         self.servers: list[Helper] = []
@@ -186,6 +188,7 @@
         return parent / place.name
 
     def _write_files(self) -> None:
+        self.tmpfs.mkdir()
         for host in self.layout.hosts:
             for place in host.places:
                 listen = f"{place.host}:1"
@@ -256,7 +259,8 @@
         await asyncio.gather(*(begin(host) for host in hosts))
 
     async def begin_host(self, host: Host) -> None:
-        """Its process, with all of its instances. Raises HollowLost if they can't begin."""
+        """Its process, with all of its instances. Raises HollowLost if they can't begin, HollowLags if they
+        don't in time."""
         process = self.hollow.get(host.name)
         if process is None:
             process = self.hollow[host.name] = HollowProcess(host, self.folder)
@@ -270,7 +274,13 @@
                 some = paths[first : first + BEGIN_AT_ONCE]
                 await process.ask("begin", paths=some, discovery=self._discovery_door)
         except RigError as error:
-            raise HollowLost(f"{host.described}: {error}") from None
+            raise await self._lost(process, error) from None
+
+    async def _lost(self, process: HollowProcess, error: RigError) -> HollowLost | HollowLags:
+        """What its failure to answer means. That a process has died is told a moment after its pipes end."""
+        told = f"{process.host.described}: {error}"
+        silent = isinstance(error.__context__, TimeoutError) and await process.ended(DEATH_S) is None
+        return HollowLags(told) if silent else HollowLost(told)
 
     async def _begin_real(self, hosts: list[Host]) -> None:
         for host in hosts:
@@ -333,8 +343,7 @@
         except RigError as error:
             if host.name in self.away:
                 return
-            kind = HollowLags if process.up else HollowLost
-            raise kind(f"{host.described}: {error}") from None
+            raise await self._lost(process, error) from None
         for name, fields in told["instances"].items():
             self.views[name].take(fields)
         ran_s = max(0.0, told["cpu_s"] - self._ran_s.get(host.name, 0.0))
@@ -479,6 +488,7 @@
         pids = {child.name: child.pid for child in [*helpers, *children] if child.pid}
         await asyncio.gather(*(child.kill() for child in children))
         await asyncio.gather(*(helper.end() for helper in helpers))
+        self._claim.release()
         shutil.rmtree(self.tmpfs, ignore_errors=True)
         for name, pid in pids.items():
             if states(pid) not in ("", "Z"):
--- a/cedarcross/scale/layout.py
+++ b/cedarcross/scale/layout.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import itertools
 import os
+import socket
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -14,7 +14,25 @@
 HOSTS_PER_PART = 250  # of the last number of an address
 FIRST_BLOCK, BLOCKS = 128, 120  # 127.128 to 127.247: drills of the rig have those below
 
-_runs = itertools.count()  # of this process, so that two of them have addresses of their own
+
+class Claim:
+    """A block of addresses that no other run on this machine has, for as long as it is held."""
+
+    def __init__(self) -> None:
+        """Raises OSError if all of them are taken."""
+        for nth in range(BLOCKS):
+            self.block = FIRST_BLOCK + (os.getpid() + nth) % BLOCKS
+            self._socket = socket.socket()
+            try:
+                self._socket.bind((f"127.{self.block}.255.254", AGREEMENT_PORT))
+                self._socket.listen()
+                return
+            except OSError:
+                self._socket.close()
+        raise OSError("all blocks of addresses are taken by other runs")
+
+    def release(self) -> None:
+        self._socket.close()
 
 
 class Role(Enum):
@@ -64,10 +82,10 @@
     """Numbers members from 1: control machines first, then followers, then real instances."""
 
     plan: ScalePlan
+    block: int = FIRST_BLOCK  # the second number of all addresses
     hosts: list[Host] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self._block = FIRST_BLOCK + (os.getpid() + 37 * next(_runs)) % BLOCKS
         self._member = 0
         self._add_control()
         self._add_followers()
@@ -91,12 +109,12 @@
 
     def spare_host(self) -> str:
         """The address of emulated servers, clients and discovery, which no instance has."""
-        return f"127.{self._block}.255.1"
+        return f"127.{self.block}.255.1"
 
     def _place(self, name: str, role: Role, region: str, zone: str) -> Place:
         self._member += 1
         part, host = divmod(self._member - 1, HOSTS_PER_PART)
-        return Place(name, self._member, role, region, zone, f"127.{self._block}.{part}.{host + 1}")
+        return Place(name, self._member, role, region, zone, f"127.{self.block}.{part}.{host + 1}")
 
     def _add_control(self) -> None:
         number = 0
--- a/tests/scale/test_faults.py
+++ b/tests/scale/test_faults.py
@@ -186,11 +186,13 @@
     words = [sys.executable, "-m", "cedarcross.cli", "scale", "run", str(file), "--out", str(tmp_path / "o")]
     with subprocess.Popen(words, cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL) as command:
         assert command.stderr is not None
+        told: list[bytes] = []
         while line := command.stderr.readline():
+            told.append(line)
             if line.startswith(b"quiet"):
                 break
         pids = descendants(command.pid)
-        assert len(pids) >= 12
+        assert len(pids) >= 12, told
         command.send_signal(number)
         command.wait(timeout=GONE_S)
     end_s = time.monotonic() + GONE_S
--- a/tests/scale/test_plan.py
+++ b/tests/scale/test_plan.py
@@ -11,7 +11,7 @@
 from cedarcross.rig.process import ROOT
 from cedarcross.scale import command
 from cedarcross.scale import plan as plans
-from cedarcross.scale.layout import Layout, Role
+from cedarcross.scale.layout import Claim, Layout, Role
 
 REGION = '[[region]]\nname = "north"\nzones = ["a", "b"]\ninstances = {instances}\ncontrol = {control}\n'
 DAY = '[[day]]\nkind = "quiet"\n'
@@ -99,3 +99,15 @@
     alone = [host for host in layout.of(Role.FOLLOWER) if host.name.startswith("alone-")]
     assert [len(host.places) for host in alone] == [1, 1, 1]
     assert sum(len(host.places) for host in layout.of(Role.FOLLOWER)) == 680
+
+
+def test_two_runs_at_a_time_have_addresses_of_their_own() -> None:
+    one, other = Claim(), Claim()
+    try:
+        assert one.block != other.block
+    finally:
+        one.release()
+        other.release()
+    again = Claim()
+    again.release()
+    assert again.block == one.block
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -6,7 +6,6 @@
 from io import StringIO
 from pathlib import Path
 
-import pytest
 from rich.console import Console
 
 from cedarcross.rig.process import ROOT
@@ -20,16 +19,20 @@
 WENT_ON = ("passed", "refused")  # refused: all was played, and the machine was too busy for the figures
 
 
-@pytest.fixture(scope="module")
-def shipped(tmp_path_factory: pytest.TempPathFactory) -> Report:
-    """The shipped small file, played once for the tests of its figures."""
-    folder = tmp_path_factory.mktemp("scale") / "small"
-    report = run(load(ROOT / "examples/scale/small.toml"), folder)
+def test_the_shipped_small_file_uses_the_path_of_every_figure(tmp_path: Path) -> None:
+    """Played once for all checks: modules' fixtures are made anew by each worker."""
+    report = run(load(ROOT / "examples/scale/small.toml"), tmp_path / "small")
     assert report.outcome in WENT_ON, report.why
-    return report
+    check_a_change_is_in_force_at_all_hollow_and_real_instances(report)
+    check_each_role_has_its_costs_beside_the_budgets(report)
+    check_clients_of_real_instances_are_served(report)
+    check_each_kind_of_day_has_its_figures(report)
+    check_hollow_instances_take_part_in_gossip_and_follow_discovery(report)
+    check_the_page_and_the_table_tell_each_budget(report, tmp_path)
+    check_the_report_is_json_with_the_standing_of_each_figure(report)
 
 
-def test_a_change_is_in_force_at_all_hollow_and_real_instances(shipped: Report) -> None:
+def check_a_change_is_in_force_at_all_hollow_and_real_instances(shipped: Report) -> None:
     day = next(day for day in shipped.days if day.name == "one-change")
     (row,) = day.changes
     assert row.outcome == "decided" and row.missing == 0
@@ -39,7 +42,7 @@
     assert found is not None and found.most == row.in_force_s and found.standing in ("over", "under")
 
 
-def test_each_role_has_its_costs_beside_the_budgets(shipped: Report) -> None:
+def check_each_role_has_its_costs_beside_the_budgets(shipped: Report) -> None:
     day = shipped.days[0]
     for role in ("control machine", "hollow follower", "real instance"):
         for name in (measure.CPU, measure.MEMORY, measure.BOTH, measure.MESSAGES_SENT):
@@ -52,14 +55,14 @@
     assert day.find(measure.CPU, "author") is not None
 
 
-def test_clients_of_real_instances_are_served(shipped: Report) -> None:
+def check_clients_of_real_instances_are_served(shipped: Report) -> None:
     day = shipped.days[0]
     assert sum(endings.get("served", 0) for endings in day.calls.values()) > 0
     assert day.find("call, 99th percentile", "real instance") is not None
     assert set(day.without_lease) == {"north", "south"}
 
 
-def test_each_kind_of_day_has_its_figures(shipped: Report) -> None:
+def check_each_kind_of_day_has_its_figures(shipped: Report) -> None:
     days = {day.kind: day for day in shipped.days}
     assert set(days) >= {"quiet", "restarts", "zone-back", "rack", "control-down", "region-cut", "start-all"}
     for kind, count in (("restarts", 3), ("zone-back", 5), ("control-down", 1), ("start-all", 23)):
@@ -72,14 +75,14 @@
     assert healed is not None and healed.count > 0
 
 
-def test_hollow_instances_take_part_in_gossip_and_follow_discovery(shipped: Report) -> None:
+def check_hollow_instances_take_part_in_gossip_and_follow_discovery(shipped: Report) -> None:
     day = shipped.days[-2]
     members, listed = (day.find(name, "hollow follower") for name in (measure.MEMBERS, measure.LISTED))
     assert members is not None and members.count == 20 and members.most is not None and members.most >= 20
     assert listed is not None and listed.count == 20 and listed.least == 10
 
 
-def test_the_page_and_the_table_tell_each_budget(shipped: Report, tmp_path: Path) -> None:
+def check_the_page_and_the_table_tell_each_budget(shipped: Report, tmp_path: Path) -> None:
     page = tmp_path / "page.html"
     draw(shipped, page)
     text = page.read_text()
@@ -91,7 +94,7 @@
     assert "change in force everywhere" in told and "not measured by a scale run" in told
 
 
-def test_the_report_is_json_with_the_standing_of_each_figure(shipped: Report) -> None:
+def check_the_report_is_json_with_the_standing_of_each_figure(shipped: Report) -> None:
     told = json.loads(json.dumps(shipped.told()))
     standings = {row["standing"] for day in told["days"] for row in day["figures"]}
     assert standings <= {"over", "under", "not measured", ""} and standings & {"over", "under"}
