Ask each known failure for its command, seed and issue

Need: an entry told a test and a cause; whoever took it up had to find out how to see it fail. Change: path::test; command; seed; what was seen; issue. An entry that lacks one of them, or whose test does not exist, ends the run at its configuration. The limit of three stays. Result: the reader's tests refuse each missing part, a missing test and a fourth entry.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,53 +2,81 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
 
 import pytest
 
-KNOWN_RED_FILE = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
+ROOT = Path(__file__).resolve().parents[1]
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
+ENTRY = re.compile(
+    r"(?P<test>[^\s:]+\.py::[^\s;]+); command: (?P<command>[^;]+); seed: (?P<seed>[^;]+); "
+    r"seen: (?P<seen>.+); issue (?P<issue>\d+)"
+)
+FORM = "path::test; command: ...; seed: ...; seen: ...; issue N"
 
 
 class KnownRed(NamedTuple):
-    """One line of the file."""
+    """One line of the file: a test that fails for a fault which is not mended yet."""
 
     test: str
-    cause: str
+    command: str  # that shows the failure
+    seed: str  # that it shows with, or where the test states it
+    seen: str
+    issue: int  # that is open for it
 
 
-def read_known_red(text: str) -> list[KnownRed]:
-    """Reads `path::test: cause; issue`, a line each.
+def read_known_red(text: str, root: Path = ROOT) -> list[KnownRed]:
+    """Read the entries, a line each in `FORM`.
+
+    Args:
+        text: The file's content.
+        root: The folder that the tests' paths are relative to.
 
     Raises:
-        ValueError: a line has no cause, or there are more lines than may land.
+        ValueError: a line is not in this form, its test does not exist, or there are too many.
     """
     lines = [line for line in text.splitlines() if line.strip()]
     if len(lines) > MOST_KNOWN_RED:
         raise ValueError(f"{KNOWN_RED_FILE.name}: {len(lines)} lines, {MOST_KNOWN_RED} at most may land")
-    found = []
-    for line in lines:
-        test, separator, cause = line.partition(": ")
-        if not separator or "::" not in test:
-            raise ValueError(f"{KNOWN_RED_FILE.name}: no `path::test: cause` in {line!r}")
-        found.append(KnownRed(test, cause))
-    return found
+    return [_read_entry(line, root) for line in lines]
+
+
+def _read_entry(line: str, root: Path) -> KnownRed:
+    found = ENTRY.fullmatch(line)
+    if found is None:
+        raise ValueError(f"{KNOWN_RED_FILE.name}: not in the form {FORM!r}: {line!r}")
+    entry = KnownRed(found["test"], found["command"], found["seed"], found["seen"], int(found["issue"]))
+    path, _, name = entry.test.partition("::")
+    function = re.compile(rf"^(async )?def {re.escape(name.partition('[')[0])}\(", re.MULTILINE)
+    if not (root / path).is_file() or not function.search((root / path).read_text()):
+        raise ValueError(f"{KNOWN_RED_FILE.name}: there is no test {entry.test}")
+    return entry
 
 
 def known_red() -> list[KnownRed]:
-    """The failures that this version is known to have."""
+    """The failures that this version is known to have. Raises ValueError."""
     return read_known_red(KNOWN_RED_FILE.read_text()) if KNOWN_RED_FILE.is_file() else []
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    """Ends a run whose list of known failures is not in order."""
+    try:
+        known_red()
+    except ValueError as error:
+        raise pytest.UsageError(str(error)) from None
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Marks the named tests, and no others, as expected to fail. A passing one passes."""
-    causes = dict(known_red())
+    entries = {entry.test: entry for entry in known_red()}
     for item in items:
-        cause = causes.get(item.nodeid)
-        if cause is not None:
-            item.add_marker(pytest.mark.xfail(reason=cause, strict=False))
+        entry = entries.get(item.nodeid)
+        if entry is not None:
+            item.add_marker(pytest.mark.xfail(reason=f"{entry.seen}; issue {entry.issue}", strict=False))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> Iterator[None] | None:
@@ -58,6 +86,10 @@
         for outcome in ("xfailed", "xpassed")
         for report in terminalreporter.stats.get(outcome, [])
     }
-    for test, cause in known_red():
-        terminalreporter.write_line(f"known red: {test}: {outcomes.get(test, 'not run')}: {cause}")
+    for entry in known_red():
+        outcome = outcomes.get(entry.test, "not run")
+        terminalreporter.write_line(
+            f"known red: {entry.test}: {outcome}: {entry.seen}; issue {entry.issue}; "
+            f"{entry.command} (seed: {entry.seed})"
+        )
     return None
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,30 +2,38 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import pytest
 
-from tests.conftest import MOST_KNOWN_RED, known_red, read_known_red
+from tests.conftest import MOST_KNOWN_RED, ROOT, known_red, read_known_red
+
+TEST = "tests/test_known_red.py::test_an_entry_is_read"
+COMMAND, SEED, SEEN, ISSUE = "command: pytest tests", "seed: 7", "seen: it fails; always", "issue 45"
+
+
+def test_every_known_failure_is_in_order() -> None:
+    for entry in known_red():
+        assert (ROOT / entry.test.partition("::")[0]).is_file()
+
+
+def test_an_entry_is_read() -> None:
+    (entry,) = read_known_red("; ".join((TEST, COMMAND, SEED, SEEN, ISSUE)) + "\n")
+    assert entry == (TEST, "pytest tests", "7", "it fails; always", 45)
+
 
-ROOT = Path(__file__).resolve().parents[1]
+@pytest.mark.parametrize("lacks", [TEST, COMMAND, SEED, SEEN, ISSUE])
+def test_an_entry_that_lacks_a_part_is_refused(lacks: str) -> None:
+    parts = [part for part in (TEST, COMMAND, SEED, SEEN, ISSUE) if part != lacks]
+    with pytest.raises(ValueError, match=r"KNOWN-RED\.txt: not in the form"):
+        read_known_red("; ".join(parts))
 
 
-def test_every_known_failure_names_a_test_that_is_there() -> None:
-    for test, cause in known_red():
-        path, _, name = test.partition("::")
-        assert f"def {name.partition('[')[0]}(" in (ROOT / path).read_text()
-        assert "issue" in cause
+@pytest.mark.parametrize("test", ["tests/test_none.py::test_a", "tests/test_known_red.py::test_none"])
+def test_an_entry_whose_test_does_not_exist_is_refused(test: str) -> None:
+    with pytest.raises(ValueError, match="there is no test"):
+        read_known_red("; ".join((test, COMMAND, SEED, SEEN, ISSUE)))
 
 
-@pytest.mark.parametrize(
-    "text",
-    [
-        "tests/test_a.py::test_b without a cause\n",
-        "a cause: without a test\n",
-        "".join(f"tests/test_a.py::test_{number}: cause; issue 1\n" for number in range(MOST_KNOWN_RED + 1)),
-    ],
-)
-def test_a_list_that_is_too_long_or_lacks_a_cause_is_refused(text: str) -> None:
-    with pytest.raises(ValueError, match=r"KNOWN-RED\.txt"):
+def test_a_list_that_is_too_long_is_refused() -> None:
+    text = "\n".join(["; ".join((TEST, COMMAND, SEED, SEEN, ISSUE))] * (MOST_KNOWN_RED + 1))
+    with pytest.raises(ValueError, match="3 at most may land"):
         read_known_red(text)
