Bound a pacing debt by the usual latency as it is when it falls

Callers saw: an instance that shares servers with very many others went on rejecting after a slow spell, for the debt of that time. Cause: the bound of three usual latencies was applied as time passed and not when an answer lowered the usual latency; a debt booked at 600 ms was paid off at a limit of 0.1 in 18 s in place of 3 s. Mend: the bound is applied where the usual latency changes, which is the only place that can leave a debt above it.

--- a/client_proxy/limits/pacing.py
+++ b/client_proxy/limits/pacing.py
@@ -126,15 +126,19 @@
         self._advanced_ms = now_ms
         if not span_ms:
             return
-        earned = self._credit_ms + (self.size - self.in_flight) * span_ms
-        most = max(SAVED_ROUNDS, self.size) * self.usual_latency_ms
-        self._credit_ms = max(-DEBT_ROUNDS * self.usual_latency_ms, min(most, earned))
+        self._credit_ms += (self.size - self.in_flight) * span_ms
+        self._bound_credit()
         left = exp(-span_ms / MEMORY_MS)
         self._recent_request_ms = self._recent_request_ms * left + self.in_flight * MEMORY_MS * (1.0 - left)
         self._recent_requests *= left
         self._recent_work *= left
         self._recent_sent_work *= left
 
+    def _bound_credit(self) -> None:
+        """Keep the credit, or the debt, to what a few requests of the usual latency take."""
+        most = max(SAVED_ROUNDS, self.size) * self.usual_latency_ms
+        self._credit_ms = max(-DEBT_ROUNDS * self.usual_latency_ms, min(most, self._credit_ms))
+
     def request_arrived(self, now_ms: float, work: float) -> None:
         """Count a request that has arrived."""
         self._advance(now_ms)
@@ -178,6 +182,9 @@
         self.in_flight -= 1
         if took_ms is not None:
             self.latency_ms += (0.1 if self.latency_ms else 1.0) * (took_ms - self.latency_ms)
+            # The bound follows the usual latency: a debt that was booked while requests took long would else
+            # be paid off for that long by an instance whose requests are quick again, and reject meanwhile.
+            self._bound_credit()
 
     def record_inflation(self, now_ms: float, stretch: float) -> None:
         """Servers stretch the time of requests so far by now."""
