Count what a warming endpoint was sent against the warm ones listed now

Callers saw: while endpoints restart in a row, one that has just started got more in a window than the slow-start limit allows by those still warm; a cold endpoint that gets too much falls with what it holds. Cause: credit is earned at a rate smoothed over four windows. When the endpoints that took this load restart, it still pays by what they could do; nothing compared the window's sends with the warm endpoints left (9 sent where 3 was the most for a warm one, limit 4.5). Mend: the guard counts sends in the window against the multiple of the share of the most that a listed endpoint was sent in one while warm. A count falls at once with the list; one always goes out, so nothing starves.

--- a/client_proxy/balancer/endpoint.py
+++ b/client_proxy/balancer/endpoint.py
@@ -7,7 +7,7 @@
 
 from client_proxy.api.events import ListedEndpoint
 from client_proxy.api.settings import Safety
-from client_proxy.rates import SMOOTHING, doubled_pause_ms, warmed_up_share
+from client_proxy.rates import SMOOTHING, WindowCount, doubled_pause_ms, warmed_up_share
 
 # An endpoint that owes answers gives none for a time that this many mean gaps between them fit in once
 # in e**5 times by chance.
@@ -41,12 +41,20 @@
         earned_weights: by class, what an endpoint that nothing is known of is taken for.
         slowness: likewise.
         latency_ms: likewise.
+        slow_start_window_ms: the window of the slow-start limit.
     """
 
     def __init__(
-        self, listed: ListedEndpoint, earned_weights: dict[str, float], slowness: float, latency_ms: float
+        self,
+        listed: ListedEndpoint,
+        earned_weights: dict[str, float],
+        slowness: float,
+        latency_ms: float,
+        slow_start_window_ms: float,
     ) -> None:
         self.listed = listed
+        self.recent_sends = WindowCount(slow_start_window_ms)
+        self.most_sends_while_warm = 0  # in any such window that ended while it was warm
         self.class_statistics = {name: ClassStatistics(weight) for name, weight in earned_weights.items()}
         self.slowness = slowness  # smoothed latency, relative to the baseline of the class
         self.saturation = 1.0  # smoothed; above 1 it gets more than it should
--- a/client_proxy/balancer/endpoint_set.py
+++ b/client_proxy/balancer/endpoint_set.py
@@ -30,6 +30,7 @@
         self.earned_weight = {**{cls.name: 1.0 for cls in settings.classes}, "": 1.0}
         self.slowness, self.latency_ms = 1.0, 0.0
         self.error_share = 0.0
+        self._most_sends_to_warm = 0
 
     def update(self, event: EndpointsListed) -> None:
         """Take in a list; a failed call leaves the old one in place."""
@@ -41,6 +42,7 @@
                 self._remove(name)
         for entry in event.endpoints:
             self._update_endpoint(entry)
+        self._most_sends_to_warm = max((e.most_sends_while_warm for e in self.endpoints.values()), default=0)
         self._fill_pools()
 
     def _update_endpoint(self, entry: ListedEndpoint) -> None:
@@ -50,7 +52,13 @@
         elif known is None or known.listed.started_ms != entry.started_ms:
             # New here, or a new process: the statistics of the old one are void.
             self._remove(entry.name)
-            self.endpoints[entry.name] = Endpoint(entry, self.earned_weight, self.slowness, self.latency_ms)
+            self.endpoints[entry.name] = Endpoint(
+                entry,
+                self.earned_weight,
+                self.slowness,
+                self.latency_ms,
+                self._settings.safety.slow_start_limit_window_ms,
+            )
         else:
             known.listed = entry
 
@@ -83,6 +91,30 @@
         default = self.local if self.is_local(endpoint) else self.remote
         return self.zone_pools.get(endpoint.listed.zone, default) if self.zone_pools else default
 
+    def record_send(self, now_ms: float, endpoint: Endpoint) -> None:
+        """Count an attempt that is sent to an endpoint now."""
+        count = endpoint.recent_sends.add(now_ms)
+        if endpoint.warmed_up_share(now_ms, self._settings.safety) >= 1:
+            endpoint.most_sends_while_warm = max(endpoint.most_sends_while_warm, count)
+            self._most_sends_to_warm = max(self._most_sends_to_warm, count)
+
+    def within_slow_start_limit(self, now_ms: float, endpoint: Endpoint) -> bool:
+        """Whether a warming endpoint may be sent one more attempt within the window.
+
+        Its credit goes by the rates of the last windows. When the endpoints that took this load restart, it
+        would still be paid by what these could do, while none that is warm now has ever been sent as much.
+        """
+        if not self._most_sends_to_warm and not self._has_warm_endpoint(now_ms):
+            return True  # one at a time goes out, by the credit
+        safety = self._settings.safety
+        share = endpoint.warmed_up_share(now_ms, safety)
+        limit = safety.slow_start_limit_multiple * share * self._most_sends_to_warm
+        return endpoint.recent_sends.count(now_ms) <= limit
+
+    def _has_warm_endpoint(self, now_ms: float) -> bool:
+        safety = self._settings.safety
+        return any(each.warmed_up_share(now_ms, safety) >= 1 for each in self.endpoints.values())
+
     def record_answer(self, now_ms: float, endpoint: Endpoint, class_name: str, latency_ms: float) -> None:
         """Take in a served answer, for its endpoint and for the mean latency."""
         endpoint.record_answer(now_ms, class_name, latency_ms)
--- a/client_proxy/balancer/send_guard.py
+++ b/client_proxy/balancer/send_guard.py
@@ -34,8 +34,11 @@
         """Whether the endpoint is warm, or its credit is enough for the request's work."""
         if endpoint.listed.started_ms is None:
             return True  # started a long time ago: most endpoints, so nothing is computed for them
-        pool = self._endpoint_set.pool_of(endpoint)
-        return self._slow_start.allows(self._state.now_ms, pool, endpoint, request.expected_work)
+        now_ms, pool = self._state.now_ms, self._endpoint_set.pool_of(endpoint)
+        if not self._slow_start.allows(now_ms, pool, endpoint, request.expected_work):
+            return False
+        warm = endpoint.warmed_up_share(now_ms, self._state.settings.safety) >= 1
+        return warm or self._endpoint_set.within_slow_start_limit(now_ms, endpoint)
 
     def _may_attempt(self, now_ms: float, request: Request) -> bool:
         """Whether the request may have one more attempt now, wherever it goes."""
--- a/client_proxy/balancer/sender.py
+++ b/client_proxy/balancer/sender.py
@@ -104,6 +104,7 @@
             endpoint.slow_start_credit -= request.expected_work
         else:
             pool.work_rate.add(now_ms, request.expected_work)
+        self._endpoint_set.record_send(now_ms, endpoint)
         self._timers.cancel_for(request)
         state.recovery_probe.attempt_sent()
         if request.attempts:
--- a/client_proxy/rates.py
+++ b/client_proxy/rates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from client_proxy.api.settings import Safety
 
 SMOOTHING = 0.2  # of exponentially smoothed figures: about the last ten samples count
@@ -31,6 +33,25 @@
         return self._sum / self._span_ms
 
 
+class WindowCount:
+    """How many events fell into the last `window_ms`."""
+
+    def __init__(self, window_ms: float) -> None:
+        self._window_ms = window_ms
+        self._times_ms: deque[float] = deque()
+
+    def count(self, now_ms: float) -> int:
+        """Events in the window that ends now."""
+        while self._times_ms and self._times_ms[0] <= now_ms - self._window_ms:
+            self._times_ms.popleft()
+        return len(self._times_ms)
+
+    def add(self, now_ms: float) -> int:
+        """Count an event now; returns the count with it."""
+        self._times_ms.append(now_ms)
+        return self.count(now_ms)
+
+
 def doubled_pause_ms(failures: int, first_ms: float, max_ms: float) -> float:
     """The pause after so many failures: doubled with each, up to `max_ms`."""
     return min(max_ms, first_ms * 2.0 ** min(failures - 1, MAX_DOUBLINGS))
