Let no process of a failing test outlive it

Symptom: a failed assertion in a test of a process left its proxy running; later runs on the machine were slower, and tests by time failed beside them. Cause: the tests started processes by hand, and only their last lines ended them.

--- a/tests/proxy/sockets.py
+++ b/tests/proxy/sockets.py
@@ -31,12 +31,33 @@
 KEYED_CLASS, UNSAFE_CLASS = "extract-issue", "entry-register"
 
 
+_processes: list[asyncio.subprocess.Process] = []  # started by the test that runs
+
+
+async def start_process(*command: str, **options: Any) -> asyncio.subprocess.Process:
+    """Start a process that does not outlive the test, however that ends."""
+    process = await asyncio.create_subprocess_exec(*command, **options)
+    _processes.append(process)
+    return process
+
+
+async def end_processes() -> None:
+    while _processes:
+        process = _processes.pop()
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
 def run(test: Coroutine[Any, Any, None]) -> None:
     """Run a test on the proxy's own kind of loop."""
 
     async def limited() -> None:
-        async with asyncio.timeout(LIMIT_S):
-            await test
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await test
+        finally:
+            await end_processes()
 
     uvloop.run(limited())
 
--- a/tests/proxy/test_descriptors.py
+++ b/tests/proxy/test_descriptors.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-from tests.proxy.sockets import Host, Registry, entry, run, until
+from tests.proxy.sockets import Host, Registry, entry, run, start_process, until
 from tests.proxy.test_program import connected, free_port, written
 
 SOCKETS = 150
@@ -26,7 +26,7 @@
             discovery=f"127.0.0.1:{discovery}",
             limits={"sockets": SOCKETS},
         )
-        process = await asyncio.create_subprocess_exec(
+        process = await start_process(
             sys.executable, "-m", "client_proxy.proxy", "--operators", "deploy/platform.toml", env=env,
             stderr=asyncio.subprocess.PIPE,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -17,7 +17,20 @@
 from client_proxy.address import read_address
 from client_proxy.proxy.config import Config, load_config, read_config
 from client_proxy.proxy.errors import ConfigError
-from tests.proxy.sockets import Client, Got, Host, Json, Registry, entry, facts, http, proxy, run, until
+from tests.proxy.sockets import (
+    Client,
+    Got,
+    Host,
+    Json,
+    Registry,
+    entry,
+    facts,
+    http,
+    proxy,
+    run,
+    start_process,
+    until,
+)
 
 
 def written(path: Path, **changes: Any) -> dict[str, str]:
@@ -142,11 +155,24 @@
 
 
 async def start(env: dict[str, str]) -> asyncio.subprocess.Process:
-    return await asyncio.create_subprocess_exec(
+    return await start_process(
         sys.executable, "-m", "client_proxy.proxy", env=os.environ | env, stderr=asyncio.subprocess.PIPE
     )
 
 
+def test_a_failing_test_leaves_no_process_behind(tmp_path: Path) -> None:
+    # A failed assertion left its proxy running: the next runs on that machine were slower, and some failed.
+    started: list[asyncio.subprocess.Process] = []
+
+    async def failing() -> None:
+        started.append(await start(written(tmp_path, listen=f"127.0.0.1:{free_port()}")))
+        raise AssertionError("as a test fails")
+
+    with pytest.raises(AssertionError, match="as a test fails"):
+        run(failing())
+    assert started[0].returncode == -signal.SIGKILL
+
+
 @pytest.mark.parametrize("content", [None, "{", "[]", "{}"])
 def test_bad_input_ends_it_with_one_plain_line(tmp_path: Path, content: str | None) -> None:
     async def test() -> None:
--- a/tests/proxy/test_run_line.py
+++ b/tests/proxy/test_run_line.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from tests.proxy.sockets import Client, Host, Registry, entry, run, until
+from tests.proxy.sockets import Client, Host, Registry, entry, run, start_process, until
 from tests.proxy.test_program import connected, free_port, written
 from tests.support import guard
 
@@ -45,7 +45,7 @@
         env = written(
             tmp_path, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}", known=known
         )
-        process = await asyncio.create_subprocess_exec(
+        process = await start_process(
             "/bin/sh", "-c", line("run"), cwd=ROOT, env=guard.hooked(tmp_path, os.environ | env)
         )
         client = await connected(port)
@@ -85,7 +85,7 @@
 def test_the_guard_sees_a_native_fork(tmp_path: Path, way: str) -> None:
     async def test() -> None:
         pipe = asyncio.subprocess.PIPE
-        process = await asyncio.create_subprocess_exec(
+        process = await start_process(
             sys.executable,
             "-c",
             NATIVE,
@@ -108,7 +108,7 @@
 )
 def test_the_guard_ends_who_asks_for_another_process(tmp_path: Path, text: str) -> None:
     async def test() -> None:
-        process = await asyncio.create_subprocess_exec(
+        process = await start_process(
             *(sys.executable, "-c", f"import os, subprocess; {text}"),
             stderr=asyncio.subprocess.PIPE,
             env=guard.hooked(tmp_path, dict(os.environ)),
@@ -125,7 +125,7 @@
     async def test() -> None:
         text = line("run").replace("deploy/platform.toml", "deploy/none.toml")
         assert text != line("run")
-        process = await asyncio.create_subprocess_exec(
+        process = await start_process(
             *("/bin/sh", "-c", text),
             cwd=ROOT,
             env=os.environ | written(tmp_path),
