Handle signals from the first line of a process to its last

Callers saw: a SIGHUP ended proxies that were starting (9 and 16 of 16 at 0 to 300 ms, on two machines) and some that were ending; Ctrl-C ended one at once, with the requests that were with servers (3 of 3). Cause: the handlers were the event loop's, so the default action stood until it ran and from its close on; the mask of the last line was the main thread's, and a thread of the loop's blocks no signal (SigBlk 0 beside 4001: 38 of 40 ended by a series of SIGHUP at the end). Mend: handlers of the process, installed before all large imports, which tell the loop once there is one, and ignore the signals at the end for the whole process. SIGINT is a SIGTERM.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -295,7 +295,7 @@
     """Two of three seats are gone; the third begins anew, and the others follow."""
     from click.testing import CliRunner
 
-    from client_proxy.cli.__main__ import main as command
+    from client_proxy.cli.commands import main as command
 
     stated = Plan(
         name="rescue", seed=5, length_s=60.0,
--- a/client_proxy/cli/former_command.py
+++ b/client_proxy/cli/former_command.py
@@ -12,4 +12,4 @@
 def main() -> None:
     """Says the new name once on standard error, then runs the command with the same arguments."""
     print(NOTICE, file=sys.stderr)
-    client_proxy(prog_name="cedarcross")
+    client_proxy("cedarcross")
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -21,7 +21,7 @@
 from hypothesis import strategies as st
 
 from client_proxy.api.policy_hook import PickContext
-from client_proxy.cli.__main__ import main
+from client_proxy.cli.commands import main
 from client_proxy.cli.control import CALLERS, Control, ask
 from client_proxy.cli.errors import CommandError
 from client_proxy.cli.logs import MOST_EVENTS, Limit, set_up
@@ -329,7 +329,7 @@
 
 def test_the_platforms_line_needs_none_of_it() -> None:
     code = (
-        "import sys; import client_proxy.proxy.__main__; "
+        "import sys; import client_proxy.proxy.program; "
         "print([m for m in sys.modules if m.split('.')[0] in ('pydantic', 'click', 'structlog')])"
     )
     began = time.monotonic()
--- a/tests/cli/test_policy.py
+++ b/tests/cli/test_policy.py
@@ -10,7 +10,7 @@
 import pytest
 from click.testing import CliRunner
 
-from client_proxy.cli import __main__ as command
+from client_proxy.cli import commands as command
 from client_proxy.cli import policy as commands
 from client_proxy.cli.instance_file import load_instance_file
 from client_proxy.config.version_store import Folder
--- a/tests/compatibility/test_control_answers.py
+++ b/tests/compatibility/test_control_answers.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner
 
 from client_proxy.api.events import EndpointsListed, ListedEndpoint, ListKind
-from client_proxy.cli import __main__ as command
+from client_proxy.cli import commands as command
 from client_proxy.cli import policy, rollout
 from client_proxy.cli.instance_factory import build_instance
 from client_proxy.cli.instance_file import load_instance_file
--- a/tests/compatibility/test_policy_files.py
+++ b/tests/compatibility/test_policy_files.py
@@ -8,7 +8,7 @@
 import pytest
 from click.testing import CliRunner
 
-from client_proxy.cli.__main__ import main
+from client_proxy.cli.commands import main
 from client_proxy.config.fleet import Fleet, digest_of, read_fleet, seal
 from client_proxy.config.models import (
     End,
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -175,7 +175,7 @@
 
 def test_gossip_that_is_off_is_not_imported() -> None:
     code = (
-        "import sys; import client_proxy.proxy.__main__; import client_proxy.adapter; "
+        "import sys; import client_proxy.proxy.program; import client_proxy.adapter; "
         "print([m for m in sys.modules if m.startswith(('client_proxy.membership', 'cryptography'))])"
     )
     process = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
--- /dev/null
+++ b/tests/proxy/test_signals.py
@@ -0,0 +1,295 @@
+"""Signals at any moment of a process's life, from its first line to its last.
+
+What callers saw: while operators moved discovery by SIGHUP and restarted a tenth of the fleet, each proxy
+that was starting just then ended by signal 1, and one of 60 that were ending did so after its last answer;
+Ctrl-C ended a proxy at once, with three to seven requests lost that were with servers.
+Why: the handlers were the event loop's. Until the loop ran, and again once it was closed, the action was the
+system's default, or Python's KeyboardInterrupt. Seen on b741aa1:
+    SIGHUP 0, 20, 40 ... 300 ms after the start: 16 of 16 ended, exit code -1
+    SIGINT with a request at a server: KeyboardInterrupt, exit code -2, the request without an answer
+"""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from client_proxy.process_signals import ProcessSignals
+from tests.proxy.sockets import Client, Got, Host, Registry, entry, http, run, start_process, until
+from tests.proxy.test_program import connected, free_port, start, written
+from tests.proxy.test_run_line import ROOT, line
+from tests.support import guard
+
+SERIES_PAUSE_S = 0.004  # between two signals of a series
+PACKAGE = ROOT / "client_proxy"
+
+
+def running(process: asyncio.subprocess.Process) -> bool:
+    return process.returncode is None
+
+
+def handles(pid: int, number: signal.Signals) -> bool:
+    """Whether the process has a handler for the signal (proc(5), SigCgt)."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    caught = int(next(row for row in status.splitlines() if row.startswith("SigCgt")).split()[1], 16)
+    return bool(caught >> (number - 1) & 1)
+
+
+async def send_until(
+    process: asyncio.subprocess.Process, number: signal.Signals, holds: Callable[[], bool]
+) -> int:
+    """Send a signal again and again until it holds, or the process has ended; returns how often."""
+    count = 0
+    while not holds() and running(process):
+        with suppress(ProcessLookupError):
+            process.send_signal(number)
+        count += 1
+        await asyncio.sleep(SERIES_PAUSE_S)
+    return count
+
+
+async def first_answer(port: int) -> int:
+    client = await connected(port)
+    status, _, _ = await client.ask()
+    client.close()
+    return status
+
+
+def config(folder: Path, port: int, registry: Registry, *hosts: Host) -> dict[str, str]:
+    known = {"index": 1, "snapshot": True, "endpoints": [entry(host) for host in hosts]}
+    return written(folder, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}", known=known)
+
+
+async def held_until(release: asyncio.Event, writer: asyncio.StreamWriter) -> None:
+    await release.wait()
+    writer.write(http(200, b"done"))
+
+
+def test_a_series_of_sighup_from_the_first_line_on_ends_nothing(tmp_path: Path) -> None:
+    # By the deploy file's line: from the moment in which the shell has become the program.
+    async def test() -> None:
+        host, registry = await Host("h").start(), await Registry().start()
+        port = free_port()
+        process = await start_process(
+            *("/bin/sh", "-c", line("run")), cwd=ROOT, env=os.environ | config(tmp_path, port, registry, host)
+        )
+        await until(lambda: "client_proxy.proxy" in guard.command(process.pid)[1:])
+        answered = asyncio.create_task(first_answer(port))
+        count = await send_until(process, signal.SIGHUP, answered.done)
+        assert running(process), f"ended with {process.returncode} after {count} signals"
+        assert await answered == 200
+        process.send_signal(signal.SIGTERM)
+        await send_until(process, signal.SIGHUP, lambda: False)
+        assert await process.wait() == 0
+        host.stop()
+        registry.stop()
+
+    run(test())
+
+
+def test_a_series_of_sighup_from_the_program_s_own_handler_on_ends_nothing(tmp_path: Path) -> None:
+    # Without the deploy file's line, the program's own first lines have to be enough.
+    async def test() -> None:
+        host, registry = await Host("h").start(), await Registry().start()
+        port = free_port()
+        process = await start(config(tmp_path, port, registry, host))
+        await until(lambda: handles(process.pid, signal.SIGHUP))
+        answered = asyncio.create_task(first_answer(port))
+        await send_until(process, signal.SIGHUP, answered.done)
+        assert running(process)
+        assert await answered == 200
+        process.send_signal(signal.SIGTERM)
+        await send_until(process, signal.SIGHUP, lambda: False)
+        _, err = await process.communicate()
+        assert process.returncode == 0, err
+        assert b"Traceback" not in err
+        host.stop()
+        registry.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize("package", ["proxy", "cli"])
+def test_a_program_handles_signals_before_it_imports_anything_large(package: str) -> None:
+    tree = ast.parse((PACKAGE / package / "__main__.py").read_text())
+    imports = [ast.unparse(node) for node in tree.body if isinstance(node, ast.Import | ast.ImportFrom)]
+    assert imports == [
+        "from __future__ import annotations",
+        "import sys",
+        "from client_proxy.process_signals import PROCESS_SIGNALS",
+    ]
+    code = "import sys; before = set(sys.modules); import client_proxy.process_signals; "
+    code += "print(*sorted(set(sys.modules) - before))"
+    loaded = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
+    ).stdout.split()
+    own = {name for name in loaded if name.startswith("client_proxy")}
+    assert own == {"client_proxy", "client_proxy.process_signals"}
+    assert not set(loaded) & {"asyncio", "logging", "socket", "uvloop", "httptools", "click"}
+
+
+def test_a_sighup_between_the_first_reading_of_the_file_and_the_loop_counts(tmp_path: Path) -> None:
+    # The operators' file is a pipe: the start stands between the two for as long as the test wants.
+    async def test() -> None:
+        host = await Host("h").start()
+        old, new = await Registry().start(), await Registry().start()
+        port, pipe = free_port(), tmp_path / "operators.toml"
+        os.mkfifo(pipe)
+        env = config(tmp_path, port, old, host)
+        process = await start_process(
+            *(sys.executable, "-m", "client_proxy.proxy", "--operators", str(pipe)), env=os.environ | env
+        )
+        end = await asyncio.to_thread(os.open, pipe, os.O_WRONLY)  # it has read its configuration
+        config(tmp_path, port, new, host)
+        process.send_signal(signal.SIGHUP)
+        os.close(end)
+        await until(lambda: bool(new.watches) or not running(process))
+        assert running(process)
+        assert await first_answer(port) == 200
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        for part in (host, old, new):
+            part.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_shutdown_that_is_asked_for_during_the_start_is_an_end_in_order(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    async def test() -> None:
+        host, registry = await Host("h").start(), await Registry().start()
+        port, pipe = free_port(), tmp_path / "operators.toml"
+        os.mkfifo(pipe)
+        process = await start_process(
+            *(sys.executable, "-m", "client_proxy.proxy", "--operators", str(pipe)),
+            env=os.environ | config(tmp_path, port, registry, host),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        end = await asyncio.to_thread(os.open, pipe, os.O_WRONLY)
+        process.send_signal(number)
+        process.send_signal(signal.SIGHUP)
+        os.close(end)
+        _, err = await process.communicate()
+        assert process.returncode == 0, err
+        assert b"Traceback" not in err
+        host.stop()
+        registry.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "numbers",
+    [
+        (signal.SIGINT,),
+        (signal.SIGTERM, signal.SIGINT),
+        (signal.SIGINT, signal.SIGHUP, signal.SIGINT, signal.SIGTERM, signal.SIGINT),
+    ],
+)
+def test_an_interrupt_from_the_keyboard_loses_nothing(
+    tmp_path: Path, numbers: tuple[signal.Signals, ...]
+) -> None:
+    release = asyncio.Event()
+
+    async def held(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
+        await held_until(release, writer)
+
+    async def test() -> None:
+        host, registry = await Host("h", held).start(), await Registry().start()
+        port = free_port()
+        process = await start(config(tmp_path, port, registry, host))
+        resting = await connected(port)
+        resting.writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
+        assert (await resting.answer())[0] == 200
+        client = await Client.connect(port)
+        client.send()
+        await until(lambda: len(host.got) == 1)
+        for number in numbers:
+            process.send_signal(number)
+        assert await resting.reader.read() == b""  # it has stopped taking connections
+        process.send_signal(signal.SIGINT)
+        release.set()
+        status, _, body = await client.answer()
+        assert (status, body) == (200, b"done")
+        await send_until(process, signal.SIGINT, lambda: False)
+        _, err = await process.communicate()
+        assert process.returncode == 0, err
+        assert b"Traceback" not in err
+        host.stop()
+        registry.stop()
+
+    run(test())
+
+
+SERVE = """
+listen = "127.0.0.1:{port}"
+
+[servers]
+file = "servers.toml"
+settle_ms = 0
+
+[[class]]
+name = "entry-register"
+effect = "unsafe"
+aim_ms = 4000
+deadline_ms = 8000
+"""
+
+
+def test_serve_bears_signals_in_series_from_its_first_line_to_its_last(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host("h").start()
+        port = free_port()
+        (tmp_path / "serve.toml").write_text(SERVE.format(port=port))
+        (tmp_path / "servers.toml").write_text(f'[[server]]\nname = "h"\naddress = "127.0.0.1:{host.port}"\n')
+        process = await start_process(
+            *(sys.executable, "-m", "client_proxy.cli", "serve", "--config", str(tmp_path / "serve.toml")),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        await until(lambda: handles(process.pid, signal.SIGHUP))
+        answered = asyncio.create_task(first_answer(port))
+        await send_until(process, signal.SIGHUP, answered.done)
+        assert running(process)
+        assert await answered == 200
+        process.send_signal(signal.SIGTERM)
+        await send_until(process, signal.SIGHUP, lambda: False)
+        _, err = await process.communicate()
+        assert process.returncode == 0, err
+        assert b"Traceback" not in err
+        host.stop()
+
+    run(test())
+
+
+def test_what_comes_before_the_loop_is_told_once_it_runs() -> None:
+    signals, told = ProcessSignals(), list[str]()
+    signals._reload(signal.SIGHUP, None)
+    signals._terminate(signal.SIGTERM, None)
+    assert signals.termination_requested
+    signals.attach(lambda callback: callback(), lambda: told.append("end"), lambda: told.append("reload"))
+    assert told == ["reload", "end"]
+    signals._reload(signal.SIGHUP, None)
+    assert told == ["reload", "end", "reload"]
+
+
+def test_an_interrupt_that_is_ignored_from_the_start_stays_ignored() -> None:
+    code = (
+        "import os, signal; from client_proxy.process_signals import PROCESS_SIGNALS as signals; "
+        "signal.signal(signal.SIGINT, signal.SIG_IGN); signals.install(); "
+        "os.kill(os.getpid(), signal.SIGINT); os.kill(os.getpid(), signal.SIGHUP); "
+        "print(signals.termination_requested, signals._reload_requested); "
+        "os.kill(os.getpid(), signal.SIGTERM); print(signals.termination_requested)"
+    )
+    said = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True).stdout
+    assert said.split() == ["False", "True", "True"]
--- a/tests/scale/test_plan.py
+++ b/tests/scale/test_plan.py
@@ -7,7 +7,7 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from client_proxy.cli.__main__ import main
+from client_proxy.cli.commands import main
 from client_proxy.fault_injection.child_process import ROOT
 from client_proxy.scale import command
 from client_proxy.scale import plan as plans
