--- a/client_proxy/fault_injection/command.py
+++ b/client_proxy/fault_injection/command.py
@@ -21,6 +21,7 @@
 
 from client_proxy.fault_injection import explore, history, plan, scenario_runner  # noqa: E402
 from client_proxy.fault_injection.scenario_runner import Verdict  # noqa: E402
+from client_proxy.fault_injection.soak.command import soak  # noqa: E402
 
 FILE = click.Path(dir_okay=False, path_type=Path)
 DIR = click.Path(file_okay=False, path_type=Path)
@@ -164,3 +165,6 @@
 
         await asyncio.gather(*(work() for _ in range(jobs)))
     return found
+
+
+main.add_command(soak)
--- a/tests/proxy/test_lingering.py
+++ b/tests/proxy/test_lingering.py
@@ -238,9 +238,9 @@
 def test_what_waits_behind_an_unfinished_request_at_the_end_is_answered_too() -> None:
     # What callers saw: requests sent ahead on a connection got no answer from a proxy that restarted, though a
     # server had them.
-    # Why: an answer ends its connection only when nothing waits behind it. At the end of the shutdown the request
-    # under way was answered, the next one began on a server, and the kill came before its time. From the soak's
-    # seed 43 beside five busy processes, seconds after SIGTERM, longest deadline 1.07 s:
+    # Why: an answer ends its connection only when nothing waits behind it. At the end of the shutdown the
+    # request under way was answered, the next one began on a server, and the kill came before its time. From
+    # the soak's seed 43 beside five busy processes, seconds after SIGTERM, longest deadline 1.07 s:
     #     1.490 requests 6 and 7 are sent ahead; 1.620 request 4 is answered 502, 5 is answered 503
     #     1.625 request 6 is sent to a server; 1.772 the kill; 6, 7 and 8 have no answer
     async def silent(host: Host, got: Got, writer: asyncio.StreamWriter) -> None:
