Bind the agreement's port before serving; name a change as the node does

Operators saw: with its TCP port taken an instance started without a word and gave nobody a body; a change with a long name outside ASCII could neither be waited for nor withdrawn. Cause: the port was bound in a task that nobody awaited; the name was cut by characters for its author and by bytes for the node. Mend: binding is awaited before the instance listens for clients, and fails the start; both cuts are the node's.

--- a/client_proxy/cli/instance_factory.py
+++ b/client_proxy/cli/instance_factory.py
@@ -120,6 +120,8 @@
 
     async def start(self) -> int:
         """Serve. Returns the port; raises OSError if an address can't be had."""
+        if self.agreed is not None:
+            await self.agreed.bind()
         port = await self.daemon.start()
         if self.control is not None:
             await self.control.start()
--- a/client_proxy/consensus/policy_source.py
+++ b/client_proxy/consensus/policy_source.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import os
 import time
@@ -27,7 +26,7 @@
 from client_proxy.consensus.control_answers import status_answer, version_answer
 from client_proxy.consensus.errors import ProposalError
 from client_proxy.consensus.lease_monitor import LeaseMonitor
-from client_proxy.consensus.messages import AcceptorId, Decided, Version
+from client_proxy.consensus.messages import AcceptorId, Decided, Version, truncate_utf8
 from client_proxy.consensus.node import MAX_CHANGE_BYTES, Node
 from client_proxy.consensus.policy_validator import PolicyValidator, has_same_effect
 from client_proxy.consensus.signer import Peer, acceptor_verifier
@@ -49,6 +48,14 @@
 """Acts by the policy from now on, with the list of servers in the message."""
 
 
+def change_name(stated: str) -> str:
+    """Return the name under which a change is reported and withdrawn, for the one that its author states.
+
+    As the node truncates it: under any other name the change would neither be found nor be withdrawn.
+    """
+    return truncate_utf8(stated, MAX_CHANGE_BYTES)
+
+
 class ConsensusPolicySource(FileSource):
     """Runs one instance's part in the protocol, and activates what the fleet decides.
 
@@ -136,9 +143,17 @@
 
     # As `Discovery`
 
+    async def bind(self) -> None:
+        """Binds the TCP port, before the instance serves anybody. Raises OSError if that cannot be done.
+
+        Done in a task that nobody awaits, a failure went unseen: the instance served by the version that it
+        had, and no other instance could fetch a body from it.
+        """
+        await self._transport.bind()
+
     def start(self) -> None:
-        """Begins to take part."""
-        self._starting = asyncio.get_running_loop().create_task(self._transport.start())
+        """Begins to take part; `bind` has been called."""
+        self._transport.start()
 
     def stop(self) -> None:
         """Releases ports, timers and tasks."""
@@ -175,7 +190,7 @@
 
     def _propose_rollout_step(self, content: bytes, reason: str) -> None:
         """Proposes the rollout's next step, which was made from the version that is active here."""
-        self._transport.propose(content, self._change_name(""), "rollout", reason)
+        self._transport.propose(content, self._name_of(""), "rollout", reason)
 
     def _drives_rollout(self) -> bool:
         """Tells whether this instance is the one that proposes a rollout's steps."""
@@ -198,7 +213,7 @@
         """
         text = self._newest_body().decode()
         self._require_newest_active()
-        name = self._change_name("")
+        name = self._name_of("")
         self._transport.propose(self.rollout.started_file(text, table), name, requester, reason)
         return name
 
@@ -214,7 +229,7 @@
         """
         self._require_newest_active()
         content, description = self.rollout.apply_order(order)
-        name = self._change_name("")
+        name = self._name_of("")
         self._transport.propose(content, name, requester, f"{description}: {reason}")
         return name
 
@@ -263,13 +278,13 @@
         newest = self.node.lease_holder.latest.version.number
         if after is not None and after != newest:
             raise ProposalError(f"made from version {after}, and the newest is {newest}: look at it again")
-        name = self._change_name(change)
+        name = self._name_of(change)
         self._check_keeps_rollout(content)
         self._transport.propose(content, name, requester, reason, dry_run=dry_run, excluded=excluded)
         return name
 
-    def _change_name(self, change: str) -> str:
-        return change[:MAX_CHANGE_BYTES] or f"{self.node.member}-{os.urandom(CHANGE_NAME_BYTES).hex()}"
+    def _name_of(self, change: str) -> str:
+        return change_name(change) or f"{self.node.member}-{os.urandom(CHANGE_NAME_BYTES).hex()}"
 
     def roll_back(self, number: int, requester: str = "", reason: str = "", change: str = "") -> str:
         """Proposes the policy of an earlier version as a version of its own.
@@ -285,7 +300,7 @@
         content = self._store.body(version.digest) if version is not None else None
         if content is None:
             raise ProposalError(f"version {number} is not kept here")
-        name = self._change_name(change)
+        name = self._name_of(change)
         self._check_keeps_rollout(content)
         self._transport.propose(content, name, requester, reason or f"back to version {number}")
         return name
@@ -343,7 +358,7 @@
         acceptors = tuple(acceptor_id for acceptor_id in newest.acceptors if acceptor_id.member != gone)
         if add is None and len(acceptors) == len(newest.acceptors):
             raise ProposalError(f"member {remove} has no seat")
-        name = self._change_name(change)
+        name = self._name_of(change)
         acceptors = (*acceptors, add) if add is not None else acceptors
         self._transport.propose(content, name, requester, reason, tuple(sorted(acceptors)))
         return name
--- a/client_proxy/consensus/transport.py
+++ b/client_proxy/consensus/transport.py
@@ -102,10 +102,13 @@
         self.results: list[ChangeResult] = []
         self.on_outcome_report: Callable[[int, OutcomeReport], None] | None = None
 
-    async def start(self) -> None:
-        """Begins to receive and to send. Raises OSError if the TCP port cannot be bound."""
-        self._port.start(self._on_datagram)
+    async def bind(self) -> None:
+        """Binds the TCP port, and serves bodies there. Raises OSError if it cannot be bound."""
         await self._bodies.start(self._listen)
+
+    def start(self) -> None:
+        """Begins to receive and to send."""
+        self._port.start(self._on_datagram)
         self._on_timer()
 
     def close(self) -> None:
--- a/client_proxy/scale/hollow.py
+++ b/client_proxy/scale/hollow.py
@@ -84,6 +84,7 @@
             self._control = Control(serving.beside(serving.file.control), verbs)
 
     async def start(self) -> None:
+        await self.source.bind()
         self.source.start()
         if self._gossip is not None:
             self._gossip.start()
--- a/tests/consensus/test_transport.py
+++ b/tests/consensus/test_transport.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
+from client_proxy.cli.instance_factory import Instance as ServingInstance
 from client_proxy.clock import now_ms
 from client_proxy.config.fleet import digest_of
 from client_proxy.consensus.lease_holder import ActivateVersion
-from client_proxy.consensus.messages import AcceptorId, ValidationRequest, Version
+from client_proxy.consensus.messages import AcceptorId, ValidationRequest, Version, truncate_utf8
+from client_proxy.consensus.node import MAX_CHANGE_BYTES
+from client_proxy.consensus.policy_source import change_name
 from client_proxy.consensus.transport import MAX_CONCURRENT_VALIDATIONS
 from tests.consensus.transports import FIRST_BODY, Instance, make_instance, run_with_fleet, until
 
@@ -109,3 +116,44 @@
         assert 2 not in senders
 
     run_with_fleet(tmp_path, test)
+
+
+def test_a_tcp_port_that_is_taken_is_an_error_of_the_start(tmp_path: Path) -> None:
+    # It was bound in a task that nobody awaited: the instance served, and gave nobody a body.
+    async def run() -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            instance = make_instance(tmp_path, 4, {}, ("127.0.0.1", taken.getsockname()[1]))
+            try:
+                with pytest.raises(OSError, match="in use"):
+                    await instance.transport.bind()
+            finally:
+                instance.transport.close()
+
+    asyncio.run(run())
+
+
+def test_an_instance_that_cannot_bind_its_port_accepts_nobody() -> None:
+    accepted: list[str] = []
+
+    class Unbound:
+        async def bind(self) -> None:
+            raise OSError("address in use")
+
+    class Accepting:
+        async def start(self) -> int:
+            accepted.append("anybody")
+            return 1
+
+    instance = SimpleNamespace(agreed=Unbound(), daemon=Accepting(), control=None, _saver=None)
+    with pytest.raises(OSError, match="in use"):
+        asyncio.run(ServingInstance.start(instance))  # type: ignore[arg-type]
+    assert accepted == []
+
+
+@pytest.mark.parametrize("stated", ["п" * 60, "release-" + "ж" * 30, "a" * 80])
+def test_a_change_has_one_name_for_its_author_and_for_the_node(stated: str) -> None:
+    name = change_name(stated)
+    assert name == truncate_utf8(stated, MAX_CHANGE_BYTES)
+    assert len(name.encode()) <= MAX_CHANGE_BYTES
--- a/tests/consensus/transports.py
+++ b/tests/consensus/transports.py
@@ -75,7 +75,8 @@
         fleet = {member: make_instance(folder, member, peers, peers[member].address) for member in peers}
         fleet[4] = make_instance(folder, 4, peers, (f"{address_part()}.104", PORT))
         for instance in fleet.values():
-            await instance.transport.start()
+            await instance.transport.bind()
+            instance.transport.start()
         try:
             all_started = [(1, FIRST_BODY)]
             await until(lambda: all(instance.activated == all_started for instance in fleet.values()))
