Forget lagging acceptors that a version has removed

Operators saw: after lagging acceptors were replaced, the warning that the folder belongs to another fleet. Cause: entries of removed members went on counting against the majority of the new acceptors. Mend: with each version that is learned, entries of members that are not its acceptors go.

--- a/client_proxy/consensus/lease_holder.py
+++ b/client_proxy/consensus/lease_holder.py
@@ -216,6 +216,11 @@
         if not is_decided(message, self.latest.version, self._verify):
             return []
         self.latest = message
+        # Members that the new version has removed no longer say whether a majority knows it.
+        members = {acceptor_id.member for acceptor_id in message.version.acceptors}
+        self.lagging_acceptors = {
+            member: number for member, number in self.lagging_acceptors.items() if member in members
+        }
         self._past_versions[message.version.number] = message
         self._past_versions.pop(message.version.number - MAX_PAST_VERSIONS, None)
         return self.on_timer(now_ms)
--- a/tests/consensus/test_lease_holder.py
+++ b/tests/consensus/test_lease_holder.py
@@ -14,6 +14,7 @@
 from tests.consensus.builders import (
     ACCEPTORS,
     FIRST,
+    STORAGE_ID,
     make_decided,
     make_lease_holder,
     make_leased_holder,
@@ -124,3 +125,18 @@
     strict.on_prepared(0.0, 1)
     strict.on_timer(5000.0)
     assert strict.serving_version(5000.0) is None
+
+
+def test_an_acceptor_that_was_removed_no_longer_says_that_the_latest_version_is_unknown() -> None:
+    # Members 0 and 1 lagged when they were voted out: with 2, 3 and 4 in their place the instance still told
+    # its operators that its folder belonged to another fleet.
+    later = tuple(AcceptorId(member, STORAGE_ID) for member in (2, 3, 4))
+    holder = make_lease_holder()
+    second = make_decided(make_version(acceptors=later), 0, 1, 2)
+    for member in (0, 1):
+        holder.handle(10.0, member, CatchUp(0))
+    assert holder.is_unrecognized
+    holder.handle(20.0, 2, second)
+    assert holder.latest == second
+    assert holder.lagging_acceptors == {}
+    assert not holder.is_unrecognized
