Say plainly that a zone is ejected by two servers at least

Noted as a fault: max(2, min(2, ready)) is always 2, so a zone with one ready endpoint is never ejected whole. Looked at: that endpoint is ejected for its own two failures, before a zone would be by its third, and comes back with any response; a new test shows it. So nothing was lost, and the expression said what it did not do. Change: the constant stands alone, with the reason. No decision changes.

--- a/client_proxy/outlier/ejection.py
+++ b/client_proxy/outlier/ejection.py
@@ -285,9 +285,8 @@
             zone.failure_weight = 0.0
         zone.failed_ms[server] = now_ms
         zone.failure_weight += weight
-        ready_count = len(self._ready_servers(name))
-        min_servers = max(2, min(ZONE_EJECTION_SERVERS, ready_count))
-        if zone.failure_weight >= ZONE_EJECTION_WEIGHT and len(zone.failed_ms) >= min_servers:
+        # A zone with one server needs no judgement of its own: that server is ejected for its own failures.
+        if zone.failure_weight >= ZONE_EJECTION_WEIGHT and len(zone.failed_ms) >= ZONE_EJECTION_SERVERS:
             zone.probe = self._schedule.create(now_ms)
             count = len(zone.failed_ms)
             self.log_lines.append(f"{name or 'servers'}: ejected, {count} servers did not respond")
--- a/tests/outlier/test_ejection.py
+++ b/tests/outlier/test_ejection.py
@@ -225,3 +225,13 @@
         assert len(ejected) <= max_ejected_share * len(ready)
         probed_ms = detector.choose_probe(now_ms, is_idempotent=True)
         assert not probed_ms or probed_ms in ejected
+
+
+def test_a_zone_with_one_server_is_ejected_with_it_and_comes_back_with_it() -> None:
+    fleet = [endpoint("a0", zone="a"), endpoint("b0", zone="b"), endpoint("c0", zone="c")]
+    detector = make_detector(fleet)
+    for at_ms in (0.0, 10.0):
+        detector.attempt_ended(at_ms, "b0", Outcome.CONNECT_FAILED, 0.0)
+    assert detector.ejected == {"b0"}
+    detector.attempt_ended(900.0, "b0", Outcome.OK, 0.0)
+    assert not detector.ejected
--- a/tests/proxy/test_lingering.py
+++ b/tests/proxy/test_lingering.py
@@ -236,8 +236,8 @@
 
 
 def test_what_waits_behind_an_unfinished_request_at_the_end_is_answered_too() -> None:
-    # What callers saw: requests sent ahead on a connection got no answer from a proxy that restarted, though a
-    # server had them.
+    # What callers saw: requests sent ahead on a connection got no answer from a proxy that restarted, though
+    # a server had them.
     # Why: an answer ends its connection only when nothing waits behind it. At the end of the shutdown the
     # request under way was answered, the next one began on a server, and the kill came before its time. From
     # the soak's seed 43 beside five busy processes, seconds after SIGTERM, longest deadline 1.07 s:
