Name the constants of limits by what they are, with units; await the emulator's sampler

Need: names as SPARSE, CUT_PART or OVER said neither what they are nor their unit; the sampler of a run was cancelled and not awaited, so that one that failed left half a time line and no error. Change: names and one-line reasons in limits (a factor of 1.0 is gone); 'stretch' is inflation throughout. The sampler is awaited; a test has one that fails.

--- a/client_proxy/balancer/learning.py
+++ b/client_proxy/balancer/learning.py
@@ -11,7 +11,7 @@
 
 # A reply is lost, not late, when it takes so many times the usual latency while others are answered.
 LOST_REPLY_FACTOR = 4.0
-MAX_PAUSE_DEADLINES = 0.5  # in longest deadlines; four were measured and did no better
+MAX_PAUSE_DEADLINES = 0.5  # of the longest deadline
 UNCONGESTED_SHARE = 0.7  # an admitted share from which on a stalled endpoint is taken to be the only one
 
 CONGESTION_EVIDENCE = (Outcome.OK, Outcome.TIMEOUT, Outcome.REJECTED)
--- a/client_proxy/emulator/simulation.py
+++ b/client_proxy/emulator/simulation.py
@@ -7,7 +7,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -218,6 +218,9 @@
         await asyncio.sleep(max(0.0, remaining_s) + TAIL_S)
         await self.fault_player.wait_for_tasks()
         sampler.cancel()
+        # Awaited: a sampler that failed would else leave a report with half a time line, and no error.
+        with suppress(asyncio.CancelledError):
+            await sampler
         end_s = self.loop.time()
         await self._shut_down(clients)
         return end_s
--- a/client_proxy/limits/concurrency_limit.py
+++ b/client_proxy/limits/concurrency_limit.py
@@ -7,7 +7,7 @@
 
 The control is that of Swift (Kumar et al., "Swift: Delay is Simple and Effective for Congestion Control in
 the Datacenter", SIGCOMM 2020): additive growth under a target delay, cuts in proportion to the excess over
-it, a higher target for smaller windows; with the servers' stretch (`congestion.py`) in the place of the
+it, a higher target for smaller windows; with the servers' inflation (`congestion.py`) in the place of the
 delay, and by time, so that instances that hear of the servers often and seldom move alike. What an instance
 leaves unused is taken back (RFC 7661, 4.4), and the others' windows grow into it.
 """
@@ -17,30 +17,30 @@
 from dataclasses import dataclass, replace
 from math import exp, sqrt
 
-LONGEST_SPAN_S = 0.5  # of growth by one answer: an instance that hears seldom must not leap
-LONGEST_CUT_S = 1.0
-CUT_AT_ONCE = 0.4  # no single answer leaves less of a window than this
-IDLE = 1.2  # up to this stretch servers idle, and a window grows in a second
-IDLE_GROWTH = 3.5  # by so much of itself as well,
-IDLE_SHARE_GROWTH = 0.15  # and a share by this
-FAIR = 0.2  # more of the target for the smallest windows, so that those of unequal size come to be alike
+MAX_GROWTH_SPAN_S = 0.5  # of growth by one answer: an instance that hears seldom must not leap
+MAX_CUT_SPAN_S = 1.0  # of cuts by one answer
+MIN_SIZE_SHARE_KEPT = 0.4  # of the window, by any one answer
+IDLE_INFLATION = 1.2  # up to it endpoints are idle: a window grows by a share of itself as well
+IDLE_GROWTH_PER_S = 3.5  # of itself
+IDLE_SHARE_GROWTH_PER_S = 0.15  # of a window below 1, which is a share of the work
+SMALL_WINDOW_TARGET_BONUS = 0.2  # of the target, so that windows of unequal size come to be alike
 # A window cut to a tenth while endpoints were full would else reject for ten times as long as they were.
-FIRST_PART = 0.25  # of what it began with, by which a window grows in a second at the least
-SHARE_PART = 0.3  # of the growth of a window, by which a share grows
-UNUSED_S = 5.0  # time constant of taking back what is not used
-SPARE = 2.0  # so many times what is used is kept, for bursts
-HUSH_MS = 1500.0  # held back whole for so long without an answer, an instance tries again
-# By how much of the window, and by how many requests, the worthiest may go beyond it; the next ones less.
-# With a window of two, one long answer of a class of little weight would else delay an entry past its time.
-BEYOND, BEYOND_MORE = 0.5, 1.0
-STALE_ROUND_MS = 100.0  # until attempts were seen
+INITIAL_SIZE_GROWTH_PER_S = 0.25  # of the initial size, at the least
+SHARE_GROWTH_RATIO = 0.3  # of the growth of a window above 1
+UNUSED_DECAY_S = 5.0  # time constant of taking back what is not used
+KEPT_USE_MULTIPLE = 2.0  # of the mean use, kept for bursts
+SILENCE_BEFORE_RETRY_MS = 1500.0  # without an answer, after which an instance that sends nothing tries again
+# By how much of the window, and by how many requests, the class of the highest priority may go beyond it.
+# With a window of two, one long answer of a class of little weight would else delay the other past its time.
+BORROWED_SIZE_SHARE, BORROWED_REQUESTS = 0.5, 1.0
+DEFAULT_LATENCY_MS = 100.0  # until attempts were answered
 
 
 @dataclass(frozen=True, slots=True)
 class WindowSettings:
     """How a window grows and shrinks."""
 
-    target_inflation: float = 2.7  # stretch up to which servers are fed
+    target_inflation: float = 2.7  # inflation up to which servers are fed
     growth_per_s: float = 1.0  # requests by which a window grows in a second, at most
     cut_per_s: float = 2.5  # of the excess over the target, taken off in a second
     min_size: float = 0.02
@@ -65,8 +65,8 @@
     def start(self, size: float) -> None:
         """What it starts from, once the servers are known: this instance's part of what they hold."""
         self.size = max(1.0, size)
-        self._growth = self._settings.growth_per_s * max(1.0, FIRST_PART * self.size)
-        self._mean_in_flight = self.size / SPARE
+        self._growth = self._settings.growth_per_s * max(1.0, INITIAL_SIZE_GROWTH_PER_S * self.size)
+        self._mean_in_flight = self.size / KEPT_USE_MULTIPLE
 
     def apply_settings(self, stated: WindowSettings) -> None:
         """Operators have changed it. Its size and growth stand: they were measured, and go on from here."""
@@ -79,13 +79,13 @@
 
     @property
     def target(self) -> float:
-        """The stretch up to which servers are fed."""
+        """The inflation up to which servers are fed."""
         return self._settings.target_inflation
 
     @property
     def usual_latency_ms(self) -> float:
         """What an attempt takes, as far as is known."""
-        return self.latency_ms or STALE_ROUND_MS
+        return self.latency_ms or DEFAULT_LATENCY_MS
 
     @property
     def departures_per_ms(self) -> float:
@@ -106,7 +106,7 @@
 
     def borrowable(self, ahead: float) -> float:
         """Requests by which the worthier may go beyond it. `ahead`: 1 for the worthiest, 0 for the last."""
-        return ahead * (BEYOND * self.size + BEYOND_MORE) if self.size >= 1.0 else 0.0
+        return ahead * (BORROWED_SIZE_SHARE * self.size + BORROWED_REQUESTS) if self.size >= 1.0 else 0.0
 
     def request_arrived(self, now_ms: float, work: float) -> None:
         """A request has come. What is asked for says nothing here: only what is held back does."""
@@ -131,7 +131,7 @@
     def request_rejected(self, now_ms: float) -> None:
         """Work was refused for the share's sake."""
         self._was_binding = True
-        if not self.in_flight and now_ms - self._recorded_ms > HUSH_MS:
+        if not self.in_flight and now_ms - self._recorded_ms > SILENCE_BEFORE_RETRY_MS:
             # An instance that sends nothing gets no answers, and would never learn of new capacity.
             self.record_inflation(now_ms, 1.0)
 
@@ -147,26 +147,26 @@
         if took_ms is not None:
             self.latency_ms += (0.1 if self.latency_ms else 1.0) * (took_ms - self.latency_ms)
 
-    def record_inflation(self, now_ms: float, stretch: float) -> None:
-        """Servers stretch the time of requests so far by now."""
+    def record_inflation(self, now_ms: float, inflation: float) -> None:
+        """Servers inflation the time of requests so far by now."""
         stated = self._settings
         span_s = max(0.0, now_ms - self._recorded_ms) / 1000.0
         self._recorded_ms = now_ms
-        higher = 1.0 + FAIR / sqrt(max(1.0, self.size))
-        room = 1.0 - stretch / (stated.target_inflation * higher)
+        higher = 1.0 + SMALL_WINDOW_TARGET_BONUS / sqrt(max(1.0, self.size))
+        room = 1.0 - inflation / (stated.target_inflation * higher)
         if room < 0:
-            self.size *= max(CUT_AT_ONCE, exp(stated.cut_per_s * min(LONGEST_CUT_S, span_s) * room))
+            self.size *= max(MIN_SIZE_SHARE_KEPT, exp(stated.cut_per_s * min(MAX_CUT_SPAN_S, span_s) * room))
         elif self._was_binding:  # only a window that binds is found too small
             # Additive, so that windows of unequal size come to be alike; but where servers idle there is
             # nothing to share out yet.
-            growth = self._growth * (1.0 if self.size > 1.0 else SHARE_PART)
-            if stretch <= IDLE:
-                growth += IDLE_GROWTH * self.size if self.size > 1.0 else IDLE_SHARE_GROWTH
-            self.size += min(LONGEST_SPAN_S, span_s) * min(1.0, 2.0 * room) * growth
+            growth = self._growth * (1.0 if self.size > 1.0 else SHARE_GROWTH_RATIO)
+            if inflation <= IDLE_INFLATION:
+                growth += IDLE_GROWTH_PER_S * self.size if self.size > 1.0 else IDLE_SHARE_GROWTH_PER_S
+            self.size += min(MAX_GROWTH_SPAN_S, span_s) * min(1.0, 2.0 * room) * growth
         # A window much larger than what is used protects nothing when it is needed.
-        part = min(1.0, span_s / UNUSED_S)
+        part = min(1.0, span_s / UNUSED_DECAY_S)
         self._mean_in_flight += part * (self.in_flight + 1 - self._mean_in_flight)
-        most = max(1.0, SPARE * self._mean_in_flight)
+        most = max(1.0, KEPT_USE_MULTIPLE * self._mean_in_flight)
         if not self._was_binding and self.size > most:
             self.size -= part * (self.size - most)
         self.size = max(stated.min_size, self.size)
--- a/client_proxy/limits/load_shedding.py
+++ b/client_proxy/limits/load_shedding.py
@@ -2,8 +2,8 @@
 
 It puts together what the files beside it decide: how crowded the servers are (`congestion.py`), how much may
 be under way (`concurrency_limit.py`) and whose work that is (`priority.py`). Nothing is refused for its
-limits' sake while servers have next to nothing waiting: the window grows as long as it binds and the stretch
-is under the target."""
+limits' sake while servers have next to nothing waiting: the window grows as long as it binds and the
+inflation is under the target."""
 
 from __future__ import annotations
 
@@ -22,19 +22,19 @@
 from client_proxy.limits.settings import OverloadSettings
 from client_proxy.rates import warmed_up_share
 
-# Requests at a server that all instances together begin with: what they find out by themselves in a second.
-FIRST_HELD = 16.0
-# Where that is less than one request an instance, they are too many to find out in time, and begin with less.
-FIRST_DUTY = 8.0
+# Requests in flight at an endpoint with which all instances together begin.
+INITIAL_IN_FLIGHT_PER_ENDPOINT = 16.0
+# Where that is less than one request an instance, they are too many to learn of congestion in time.
+INITIAL_PACED_PER_ENDPOINT = 8.0
 # Of the target, where more instances than endpoints use a small part of these each. They would notice
 # congestion late and load endpoints unevenly, so that some are overloaded while the total is as stated. The
 # cost: thirty instances that use four endpoints of nine each lose a fifth of what is served under congestion.
-SHARED = 0.7
-SEEN_ENOUGH = 1 / 3
-LEAST_TARGET = 1.3
-FULL_TIMES = 2.0  # a refusal for want of room counts as this many times the target
-HOLD_PART = 0.5  # of the shortest aim: as many are held as leave in that time
-QUIET = 0.999  # a share from which on nothing is turned away
+SUBSET_TARGET_SHARE = 0.7
+MIN_SEEN_SHARE = 1 / 3  # of the endpoints, used by one instance, from which on the target holds whole
+MIN_TARGET_INFLATION = 1.3
+REJECTION_TARGET_MULTIPLE = 2.0  # of the target: the inflation that a rejection by an endpoint stands for
+QUEUED_OBJECTIVE_SHARE = 0.5  # of the shortest latency objective: as many requests wait as leave in that time
+NO_SHEDDING_SHARE = 0.999  # a share from which on nothing is rejected
 
 
 class LoadShedding(BalancerHook):
@@ -59,7 +59,9 @@
         self.admission = PriorityAdmission(
             {c.name: c.priority_weight for c in settings.classes}, stated.class_order, stated.min_shares
         )
-        self.congestion = CongestionEstimate(settings.report_fields, FULL_TIMES * stated.target_inflation)
+        self.congestion = CongestionEstimate(
+            settings.report_fields, REJECTION_TARGET_MULTIPLE * stated.target_inflation
+        )
         self.window: ConcurrencyWindow | PacedConcurrency = ConcurrencyWindow(stated.window_settings())
         self._shortest_objective_ms = min(
             (cls.latency_objective_ms for cls in settings.classes), default=1000.0
@@ -80,7 +82,7 @@
         self.window = predecessor.window
         self.window.apply_settings(self._settings.window_settings())
         self.congestion = predecessor.congestion
-        self.congestion.set_rejection_inflation(FULL_TIMES * self._settings.target_inflation)
+        self.congestion.set_rejection_inflation(REJECTION_TARGET_MULTIPLE * self._settings.target_inflation)
         self.admission.inherit_from(predecessor.admission)
         self._has_started, self._ready = predecessor._has_started, predecessor._ready
         self._capacity, self._endpoints = predecessor._capacity, predecessor._endpoints
@@ -96,24 +98,27 @@
         ready = len(self._ready)
         if ready and not self._has_started:
             self._has_started = True
-            if FIRST_HELD * ready < self._proxies:
+            if INITIAL_IN_FLIGHT_PER_ENDPOINT * ready < self._proxies:
                 self.window = PacedConcurrency(
-                    self._settings.window_settings(), FIRST_DUTY * ready / self._proxies
+                    self._settings.window_settings(), INITIAL_PACED_PER_ENDPOINT * ready / self._proxies
                 )
             else:
                 stated = self._settings.window_settings()
                 seen = max(
                     MIN_SUBSET_SIZE / ready, MIN_PROXIES_PER_ENDPOINT / self._proxies
                 )  # of the servers, by one instance
-                if self._proxies > ready and seen < SEEN_ENOUGH:
+                if self._proxies > ready and seen < MIN_SEEN_SHARE:
                     stated = replace(
-                        stated, target_inflation=max(LEAST_TARGET, SHARED * stated.target_inflation)
+                        stated,
+                        target_inflation=max(
+                            MIN_TARGET_INFLATION, SUBSET_TARGET_SHARE * stated.target_inflation
+                        ),
                     )
                 begun = ConcurrencyWindow(stated, self._settings.target_inflation)
-                begun.start(FIRST_HELD * ready / self._proxies)
+                begun.start(INITIAL_IN_FLIGHT_PER_ENDPOINT * ready / self._proxies)
                 self.window = begun
         elif isinstance(self.window, PacedConcurrency):
-            self.window.scale(FIRST_DUTY * ready / self._proxies)
+            self.window.scale(INITIAL_PACED_PER_ENDPOINT * ready / self._proxies)
         self._update_capacity(now_ms, endpoints)
 
     def _update_capacity(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
@@ -148,12 +153,12 @@
     ) -> None:
         """Adapt the limit by what an attempt tells of congestion."""
         self.window.attempt_ended(now_ms, took_ms if outcome is Outcome.OK else None)
-        stretch = None
+        inflation = None
         if endpoint.name in self._ready:
-            stretch = self.congestion.record_attempt(now_ms, endpoint.name, outcome, slowness, report)
-        if stretch is not None:
-            self.window.record_inflation(now_ms, stretch)
-        if self._is_shedding != (self.window.share < QUIET):
+            inflation = self.congestion.record_attempt(now_ms, endpoint.name, outcome, slowness, report)
+        if inflation is not None:
+            self.window.record_inflation(now_ms, inflation)
+        if self._is_shedding != (self.window.share < NO_SHEDDING_SHARE):
             self._is_shedding = not self._is_shedding
             told = f"servers are full: {self.window.share:.2f} of the work is taken on"
             self._log_lines.append(told if self._is_shedding else "servers have room: all work is taken on")
@@ -178,7 +183,7 @@
         The end of a longer one would be rejected after a wait in place of at once, and would meanwhile hold
         the connections that others need.
         """
-        most = 1.0 + HOLD_PART * self._shortest_objective_ms * self.window.departures_per_ms
+        most = 1.0 + QUEUED_OBJECTIVE_SHARE * self._shortest_objective_ms * self.window.departures_per_ms
         return pending < most * (1.0 + self._class_rank(context))
 
     def _class_rank(self, context: PickContext) -> float:
--- a/client_proxy/limits/pacing.py
+++ b/client_proxy/limits/pacing.py
@@ -12,8 +12,8 @@
 a rest finds its place paid for.
 
 Servers' reports move the duty slowly: up while it binds and they have room, down in proportion to the
-excess of their stretch (`congestion.py`). From what it lets out, and what was asked for, follows the share of
-the work that is taken on at all.
+excess of their inflation (`congestion.py`). From what it lets out, and what was asked for, follows the share
+of the work that is taken on at all.
 """
 
 from __future__ import annotations
@@ -21,35 +21,34 @@
 from math import exp
 
 from client_proxy.limits.concurrency_limit import (
-    CUT_AT_ONCE,
-    HUSH_MS,
-    IDLE,
-    LONGEST_CUT_S,
-    LONGEST_SPAN_S,
-    STALE_ROUND_MS,
-    UNUSED_S,
+    DEFAULT_LATENCY_MS,
+    IDLE_INFLATION,
+    MAX_CUT_SPAN_S,
+    MAX_GROWTH_SPAN_S,
+    MIN_SIZE_SHARE_KEPT,
+    SILENCE_BEFORE_RETRY_MS,
+    UNUSED_DECAY_S,
     WindowSettings,
 )
 
-SPARSE = 0.8  # of the target: each instance hears of a crowd late
-SAVED_ROUNDS = 3.0  # so many usual requests' time is saved up at most,
-FIRST_ROUNDS = 0.0  # and so many are there at the start: a fleet that starts at once begins with one each
-DEBT_ROUNDS = 3.0  # danger: one request at a hung server must not keep the instance from the others for long
-SPARE_ROUNDS = 1.0  # saved up, from which on the share refuses nobody
-LEFT_PART = 0.5  # of its usual time a request under way still takes, in the mean
-CUT_PART = 0.4  # of the stated cut
-# While servers were seen idle for so long, and not crowded meanwhile, nothing is refused for a duty's sake.
-# A report is up to a second old, and would say that endpoints are idle in the moment in which a fleet starts.
-IDLE_FOR_MS = 2000.0
-NOT_IDLE = 1.35
-OPEN_AT_ONCE = 2.0  # requests under way that then need not be paid for
-GROWTH_PART = 1.0  # of the duty begun with, by which it grows in a second
-IDLE_GROWTH = 1.0  # of itself, while servers idle
-KEPT = 2.0  # so many times what is used stays
-MEMORY_MS = 4000.0  # over which what is asked for and let out is smoothed
-SURE_ASKED = 6.0  # requests asked for within the memory before a share is reckoned from them
-OVER = 1.0  # of what the duty lets out, that is taken on
-BORROWED_ROUNDS = 1.0  # by which the worthiest class goes ahead of what is paid for
+TARGET_SHARE = 0.8  # of the target inflation: each instance hears of congestion late
+# Credit is counted in rounds: one is what a request of the usual latency takes.
+SAVED_ROUNDS = 3.0  # saved up at most
+INITIAL_CREDIT_ROUNDS = 0.0  # a fleet that starts at once begins with one request each
+DEBT_ROUNDS = 3.0  # at most: one request at a hung endpoint must not keep the instance from the others
+SPARE_CREDIT_ROUNDS = 1.0  # of credit, from which on no request is rejected for its class's share
+REMAINING_LATENCY_SHARE = 0.5  # of the usual latency, that a request in flight still takes in the mean
+CUT_RATE_SHARE = 0.4  # of the stated cut per second
+# A load report is up to a second old, and says that endpoints are idle in the moment in which a fleet starts.
+IDLE_FOR_MS = 2000.0  # of idle endpoints, after which requests need not be paid for
+NOT_IDLE_INFLATION = 1.35  # above it endpoints are not idle
+MAX_UNPACED_IN_FLIGHT = 2.0  # requests that then need not be paid for
+INITIAL_SIZE_GROWTH_PER_S = 1.0  # of the initial size
+IDLE_GROWTH_PER_S = 1.0  # of itself, while endpoints are idle
+KEPT_USE_MULTIPLE = 2.0  # of the mean use, kept for bursts
+SMOOTHING_MS = 4000.0  # time constant of what arrives, what is sent and what is in flight
+MIN_RECENT_REQUESTS = 6.0  # arrived within that time, from which on a share is computed
+BORROWED_ROUNDS = 1.0  # by which the class of the highest priority may run into debt
 
 
 class PacedConcurrency:
@@ -62,7 +61,7 @@
         self.size = first
         self.in_flight = 0
         self.latency_ms = 0.0
-        self._credit_ms = FIRST_ROUNDS * STALE_ROUND_MS
+        self._credit_ms = INITIAL_CREDIT_ROUNDS * DEFAULT_LATENCY_MS
         self._advanced_ms: float | None = None
         self._recorded_ms = 0.0
         self._was_binding = False
@@ -78,7 +77,7 @@
     @property
     def usual_latency_ms(self) -> float:
         """What a request takes under way, as far as is known."""
-        return self.latency_ms or STALE_ROUND_MS
+        return self.latency_ms or DEFAULT_LATENCY_MS
 
     @property
     def departures_per_ms(self) -> float:
@@ -88,19 +87,19 @@
     @property
     def mean_in_flight(self) -> float:
         """Requests under way in the mean, lately."""
-        return self._recent_request_ms / MEMORY_MS
+        return self._recent_request_ms / SMOOTHING_MS
 
     @property
     def share(self) -> float:
         """Of the work offered, what may be taken on: what went out of it, scaled to the whole duty."""
         if (
             self._is_open()
-            or self._recent_requests < SURE_ASKED
+            or self._recent_requests < MIN_RECENT_REQUESTS
             or not self._recent_work
             or not self._recent_request_ms
         ):
             return 1.0
-        return min(1.0, OVER * self.size / self.mean_in_flight * self._recent_sent_work / self._recent_work)
+        return min(1.0, self.size / self.mean_in_flight * self._recent_sent_work / self._recent_work)
 
     def scale(self, first: float) -> None:
         """Scale the limit to a new initial size, when endpoints are listed or gone.
@@ -128,8 +127,10 @@
             return
         self._credit_ms += (self.size - self.in_flight) * span_ms
         self._bound_credit()
-        left = exp(-span_ms / MEMORY_MS)
-        self._recent_request_ms = self._recent_request_ms * left + self.in_flight * MEMORY_MS * (1.0 - left)
+        left = exp(-span_ms / SMOOTHING_MS)
+        self._recent_request_ms = self._recent_request_ms * left + self.in_flight * SMOOTHING_MS * (
+            1.0 - left
+        )
         self._recent_requests *= left
         self._recent_work *= left
         self._recent_sent_work *= left
@@ -148,10 +149,10 @@
     def is_full(self, now_ms: float, more: float = 0.0) -> bool:
         """Is there no room for one more? `more`: usual requests' times beyond what is paid for."""
         self._advance(now_ms)
-        promised_ms = (LEFT_PART * self.in_flight - more) * self.usual_latency_ms
+        promised_ms = (REMAINING_LATENCY_SHARE * self.in_flight - more) * self.usual_latency_ms
         full = self._credit_ms < promised_ms
         if full and self._is_open():
-            full = self.in_flight >= OPEN_AT_ONCE + more
+            full = self.in_flight >= MAX_UNPACED_IN_FLIGHT + more
         self._was_binding = self._was_binding or full
         return full
 
@@ -161,12 +162,15 @@
         A share is computed from few requests, and would reject work while the limit is not used.
         """
         self._advance(now_ms)
-        return self._credit_ms >= (SPARE_ROUNDS + LEFT_PART * self.in_flight) * self.usual_latency_ms
+        return (
+            self._credit_ms
+            >= (SPARE_CREDIT_ROUNDS + REMAINING_LATENCY_SHARE * self.in_flight) * self.usual_latency_ms
+        )
 
     def request_rejected(self, now_ms: float) -> None:
         """Work was refused for the share's sake."""
         self._was_binding = True
-        if not self.in_flight and now_ms - self._recorded_ms > HUSH_MS:
+        if not self.in_flight and now_ms - self._recorded_ms > SILENCE_BEFORE_RETRY_MS:
             # An instance that sends nothing gets no answers, and would never learn of new capacity.
             self.record_inflation(now_ms, 1.0)
 
@@ -186,30 +190,30 @@
             # be paid off for that long by an instance whose requests are quick again, and reject meanwhile.
             self._bound_credit()
 
-    def record_inflation(self, now_ms: float, stretch: float) -> None:
-        """Servers stretch the time of requests so far by now."""
+    def record_inflation(self, now_ms: float, inflation: float) -> None:
+        """Servers inflation the time of requests so far by now."""
         self._advance(now_ms)
         span_s = max(0.0, now_ms - self._recorded_ms) / 1000.0
         self._recorded_ms = now_ms
-        if stretch > NOT_IDLE:
+        if inflation > NOT_IDLE_INFLATION:
             self._idle_since_ms = None
-        elif stretch <= IDLE and self._idle_since_ms is None:
+        elif inflation <= IDLE_INFLATION and self._idle_since_ms is None:
             self._idle_since_ms = now_ms
-        room = 1.0 - stretch / (SPARSE * self._settings.target_inflation)
+        room = 1.0 - inflation / (TARGET_SHARE * self._settings.target_inflation)
         if room < 0:
-            cut = CUT_PART * self._settings.cut_per_s * min(LONGEST_CUT_S, span_s)
-            self.size *= max(CUT_AT_ONCE, exp(cut * room))
+            cut = CUT_RATE_SHARE * self._settings.cut_per_s * min(MAX_CUT_SPAN_S, span_s)
+            self.size *= max(MIN_SIZE_SHARE_KEPT, exp(cut * room))
         elif self._was_binding:
-            growth = GROWTH_PART * self._initial_size
-            if stretch <= IDLE:
-                growth += IDLE_GROWTH * self.size
+            growth = INITIAL_SIZE_GROWTH_PER_S * self._initial_size
+            if inflation <= IDLE_INFLATION:
+                growth += IDLE_GROWTH_PER_S * self.size
             self.size += (
-                min(LONGEST_SPAN_S, span_s) * min(1.0, 2.0 * room) * growth * self._settings.growth_per_s
+                min(MAX_GROWTH_SPAN_S, span_s) * min(1.0, 2.0 * room) * growth * self._settings.growth_per_s
             )
         else:
             # A limit much larger than what is used protects nothing when it is needed.
-            most = max(self._initial_size, KEPT * self.mean_in_flight)
+            most = max(self._initial_size, KEPT_USE_MULTIPLE * self.mean_in_flight)
             if self.size > most:
-                self.size -= min(1.0, span_s / UNUSED_S) * (self.size - most)
+                self.size -= min(1.0, span_s / UNUSED_DECAY_S) * (self.size - most)
         self.size = max(self._settings.min_size * self._initial_size, self.size)
         self._was_binding = False
--- a/client_proxy/limits/priority.py
+++ b/client_proxy/limits/priority.py
@@ -10,8 +10,8 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
-MEMORY = 50.0  # requests over which what is asked for is smoothed
-BURST = 2.0  # admissions that a class may save up
+DEMAND_MEMORY_REQUESTS = 50.0  # over which what arrives is smoothed
+MAX_SAVED_ADMISSIONS = 2.0  # of one class
 
 
 class WorkDemand:
@@ -23,9 +23,9 @@
     def request_arrived(self, name: str, work: float) -> None:
         """Take in a request with its expected work."""
         for known in self.work:
-            self.work[known] *= 1.0 - 1.0 / MEMORY
+            self.work[known] *= 1.0 - 1.0 / DEMAND_MEMORY_REQUESTS
         if name in self.work:
-            self.work[name] += work / MEMORY
+            self.work[name] += work / DEMAND_MEMORY_REQUESTS
 
 
 def admitted_shares(
@@ -87,7 +87,7 @@
         """A request of this class has come."""
         if name in self._work_per_request:
             unit = self._work_per_request[name]
-            self._work_per_request[name] += (work - unit) / MEMORY if unit else work
+            self._work_per_request[name] += (work - unit) / DEMAND_MEMORY_REQUESTS if unit else work
         self._demand.request_arrived(name, work)
 
     def admits(self, name: str, share: float) -> bool:
@@ -97,7 +97,7 @@
         part = admitted_shares(share, self.ranked_classes(), self._demand.work, self._min_shares)[name]
         if part >= 1.0:
             return True
-        self._credit[name] = min(BURST, self._credit[name] + part)
+        self._credit[name] = min(MAX_SAVED_ADMISSIONS, self._credit[name] + part)
         if self._credit[name] < 1.0:
             return False
         self._credit[name] -= 1.0
--- a/tests/emulator/test_report.py
+++ b/tests/emulator/test_report.py
@@ -6,6 +6,8 @@
 
 from client_proxy.emulator.event_log import Arrival, AttemptOutcome, ClientAttempt, EventLog, ServerOutcome
 from client_proxy.emulator.report import event_log_digest
+from client_proxy.emulator.simulation import Simulation
+from tests.support.days import played
 
 DIGESTS = {
     None: "c3f3a48f11982fdd",
@@ -38,3 +40,13 @@
         for number, fate in enumerate(ServerOutcome)
     ]
     assert digest_of(EventLog(arrivals=arrivals)) == DIGEST_OF_ALL_FATES
+
+
+def test_a_sampler_that_fails_is_an_error_of_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    # It was cancelled and not awaited: the report had half a time line, and nobody was told.
+    async def failing(self: Simulation, progress: object) -> None:
+        raise RuntimeError("no sample")
+
+    monkeypatch.setattr(Simulation, "_sample", failing)
+    with pytest.raises(RuntimeError, match="no sample"):
+        played(length_s=1.0)
--- a/tests/limits/test_congestion.py
+++ b/tests/limits/test_congestion.py
@@ -5,7 +5,12 @@
 import pytest
 
 from client_proxy.api.events import Outcome
-from client_proxy.limits.congestion import LOST_MS, MEMORY_MS, MUTE_MS, CongestionEstimate
+from client_proxy.limits.congestion import (
+    LOAD_MEMORY_MS,
+    RECENT_ANSWER_MS,
+    STALE_AFTER_MS,
+    CongestionEstimate,
+)
 
 FIELDS = ("inflight", "queue", "latency_ms")
 
@@ -21,9 +26,9 @@
 def test_what_was_told_long_ago_says_nothing() -> None:
     made = CongestionEstimate(FIELDS, 5.0)
     made.record_attempt(0.0, "a", Outcome.OK, 1.0, (40.0, 36.0, 40.0))
-    assert made.latency_inflation(MEMORY_MS - 1.0) == pytest.approx(10.0)
-    assert made.latency_inflation(MEMORY_MS) == 1.0
-    assert not made.has_recent_answers(MEMORY_MS)
+    assert made.latency_inflation(LOAD_MEMORY_MS - 1.0) == pytest.approx(10.0)
+    assert made.latency_inflation(LOAD_MEMORY_MS) == 1.0
+    assert not made.has_recent_answers(LOAD_MEMORY_MS)
 
 
 def test_a_server_that_tells_wrongly_that_it_is_idle_is_betrayed_by_its_answers() -> None:
@@ -66,7 +71,7 @@
     for step in range(10):
         # One has just answered, at ease.
         assert made.record_attempt(400.0 + step, "a", Outcome.TIMEOUT, 1.0, None) is None
-    assert made.record_attempt(400.0 + LOST_MS, "a", Outcome.TIMEOUT, 1.0, None) == 5.0
+    assert made.record_attempt(400.0 + RECENT_ANSWER_MS, "a", Outcome.TIMEOUT, 1.0, None) == 5.0
 
 
 def test_losses_beside_answers_of_crowded_servers_tell_of_a_crowd() -> None:
@@ -110,9 +115,9 @@
 
     for step in range(50):
         ask(step * 10.0, "a", 8.0)
-    assert ask(500.0 + MUTE_MS, "a", 1.0) == pytest.approx(1.0)
-    assert ask(502.0 + 2 * MUTE_MS, "b", 8.0) == pytest.approx(8.0, rel=0.11)
-    assert ask(504.0 + 2 * MUTE_MS, "b", 1.0) == pytest.approx(7.3, rel=0.11)
+    assert ask(500.0 + STALE_AFTER_MS, "a", 1.0) == pytest.approx(1.0)
+    assert ask(502.0 + 2 * STALE_AFTER_MS, "b", 8.0) == pytest.approx(8.0, rel=0.11)
+    assert ask(504.0 + 2 * STALE_AFTER_MS, "b", 1.0) == pytest.approx(7.3, rel=0.11)
     # While attempts go out unanswered nothing is forgotten.
     for step in range(40):
         made.attempt_sent(10_000.0 + step * 100.0)
--- a/tests/limits/test_overload.py
+++ b/tests/limits/test_overload.py
@@ -20,7 +20,7 @@
 from client_proxy.api.policy_hook import BalancerHook, CompositeHook, PickContext
 from client_proxy.balancer.balancer import Balancer
 from client_proxy.limits.concurrency_limit import ConcurrencyWindow
-from client_proxy.limits.load_shedding import SHARED, LoadShedding
+from client_proxy.limits.load_shedding import SUBSET_TARGET_SHARE, LoadShedding
 from client_proxy.limits.pacing import PacedConcurrency
 from client_proxy.limits.settings import OverloadSettings
 from client_proxy.operators import Operators, parse_operators
@@ -139,7 +139,7 @@
 
     stated = OverloadSettings().target_inflation
     assert target(60, 60) == target(30, 9) == target(3, 9) == stated
-    assert target(64, 42) == target(200, 130) == pytest.approx(SHARED * stated)
+    assert target(64, 42) == target(200, 130) == pytest.approx(SUBSET_TARGET_SHARE * stated)
 
 
 def test_no_request_is_held_past_the_moment_when_it_could_be_in_time() -> None:
