--- a/tests/emulator/test_burst_recovery.py
+++ b/tests/emulator/test_burst_recovery.py
@@ -3,10 +3,10 @@
 What callers saw: on a day with a release, a burst and three servers gone, 0.27 to 1.0 of the score, by run
 and machine; with the load gone the fleet went on rejecting for five seconds.
 What sustains it: a server that holds too much for two seconds works 2.6 times as slowly until its cores are
-mostly idle, or 20 s are over. Windows keep room for bursts of the single instance; together they let the
-burst overfill the servers within a second, and without load reports the fleet hears of it by the answers'
-slowness, which lags. From the day below without reports, seed 1:
-    at 4.5 s 217 requests in flight, stretch by the fleet 1.34, by the servers (48 run, 170 wait) 4.5
+mostly idle, or 20 s are over. So all depends on how soon a fleet notices. Without load reports it noticed
+late: by answers' slowness, smoothed over ten answers of each server (five seconds at two a second), with the
+slowest of all, those that timed out, not counted. From the day below without reports, seed 1, old code:
+    at 4.5 s 217 requests in flight, inflation by the fleet 1.34, by the servers (48 run, 170 wait) 4.5
     at 8.5 s 11 of 12 servers jammed, 205 of 336 attempts a second time out; at 18.5 s the burst is over
     at 24.5 s 9 of 12 still jammed, 0.71 served
 Ruled out: attempts given up but still in work at servers (counted as in flight for a usual latency more: no
@@ -130,7 +130,7 @@
 
 def share_after_burst(report: Report) -> float:
     windows = between(report, BURST_ENDS_S + RECOVERY_S + 1.0, LENGTH_S)
-    served: list[float] = [window["served_share"] for window in windows]
+    served = [float(window["served_share"]) for window in windows]
     return sum(served) / len(served)
 
 
@@ -142,7 +142,7 @@
 
 def work_s(window: dict[str, Any], outcomes: tuple[str, ...]) -> float:
     """The mean work of a window's requests that ended so."""
-    return sum(WORK_S[name] * window[name][outcome] for name in WORK_S for outcome in outcomes)
+    return sum(WORK_S[name] * float(window[name][outcome]) for name in WORK_S for outcome in outcomes)
 
 
 def check_goodput(seed: int, fields: str) -> None:
@@ -162,7 +162,7 @@
     check_recovery(seed, WITH_REPORTS)
 
 
-@pytest.mark.parametrize("seed", [1])
+@pytest.mark.parametrize("seed", [1, 3])
 def test_three_seconds_after_a_burst_service_is_back_without_reports(seed: int) -> None:
     check_recovery(seed, WITHOUT_REPORTS)
 
@@ -172,6 +172,6 @@
     check_goodput(seed, WITH_REPORTS)
 
 
-@pytest.mark.parametrize("seed", [1])
+@pytest.mark.parametrize("seed", [1, 3])
 def test_in_a_burst_nine_tenths_is_served_without_reports(seed: int) -> None:
     check_goodput(seed, WITHOUT_REPORTS)
