--- a/client_proxy/limits/congestion.py
+++ b/client_proxy/limits/congestion.py
@@ -49,6 +49,7 @@
     """The gain of an answer that comes so long after the one before from the same endpoint.
 
     By a constant gain an instance that hears of an endpoint twice a second would be five seconds behind.
+    Where queues are reported, slowness only betrays a report that is wrong, and has the time.
     """
     return 1.0 - (1.0 - SLOWNESS_SMOOTHING) * exp(-max(0.0, gap_ms) / SLOWNESS_MEMORY_MS)
 
@@ -113,7 +114,7 @@
         gap_ms = now_ms - seen.recorded_ms
         # A quick answer after a silence does not show by itself that congestion is over.
         ends_silence = gap_ms > RECENT_ANSWER_MS and slowness < seen.slowness
-        gain = SLOWNESS_SMOOTHING if ends_silence else _slowness_gain(gap_ms)
+        gain = SLOWNESS_SMOOTHING if self._reported or ends_silence else _slowness_gain(gap_ms)
         seen.slowness += gain * (slowness - seen.slowness)
         seen.recorded_ms = now_ms
         if self._reported and report is not None:
@@ -126,12 +127,14 @@
         """Take in an attempt that was given up; `slowness`: of its answer, had it come now.
 
         An endpoint that goes on answering others is not cut off: it is slow, at least so much. By its answers
-        alone the slowest requests of all would never be counted.
+        alone the slowest requests of all would never be counted. Where queues are reported, these tell it.
         """
         if self._loss_share > MAX_LOSS_SHARE and not self._has_capacity(now_ms):
             return self._rejection_inflation
         seen = self._loads.get(server)
-        if seen is None or now_ms - seen.recorded_ms > RECENT_ANSWER_MS or slowness <= seen.slowness:
+        if self._reported or seen is None or slowness <= seen.slowness:
+            return None
+        if now_ms - seen.recorded_ms > RECENT_ANSWER_MS:
             return None
         seen.slowness += _slowness_gain(now_ms - seen.recorded_ms) * (slowness - seen.slowness)
         return self.latency_inflation(now_ms)
