Bound what a window counts; set right a doc comment that a renaming broke

Found by reading the change: the count of sends to an endpoint is emptied by time alone, and settings may state a window of years (a test has 1e12 ms), so every send of a process's life would be kept. Change: 4,096 events a window at the most, which two seconds reach only past 2,000 sends a second to one endpoint.

--- a/client_proxy/limits/concurrency_limit.py
+++ b/client_proxy/limits/concurrency_limit.py
@@ -148,7 +148,7 @@
             self.latency_ms += (0.1 if self.latency_ms else 1.0) * (took_ms - self.latency_ms)
 
     def record_inflation(self, now_ms: float, inflation: float) -> None:
-        """Servers inflation the time of requests so far by now."""
+        """Adapt to the inflation of requests' time at the servers, as it is now."""
         stated = self._settings
         span_s = max(0.0, now_ms - self._recorded_ms) / 1000.0
         self._recorded_ms = now_ms
--- a/client_proxy/limits/pacing.py
+++ b/client_proxy/limits/pacing.py
@@ -191,7 +191,7 @@
             self._bound_credit()
 
     def record_inflation(self, now_ms: float, inflation: float) -> None:
-        """Servers inflation the time of requests so far by now."""
+        """Adapt to the inflation of requests' time at the servers, as it is now."""
         self._advance(now_ms)
         span_s = max(0.0, now_ms - self._recorded_ms) / 1000.0
         self._recorded_ms = now_ms
--- a/client_proxy/rates.py
+++ b/client_proxy/rates.py
@@ -33,12 +33,15 @@
         return self._sum / self._span_ms
 
 
+MAX_COUNTED_EVENTS = 4096  # by one count: settings may state a window of years
+
+
 class WindowCount:
-    """How many events fell into the last `window_ms`."""
+    """How many events fell into the last `window_ms`, `MAX_COUNTED_EVENTS` at the most."""
 
     def __init__(self, window_ms: float) -> None:
         self._window_ms = window_ms
-        self._times_ms: deque[float] = deque()
+        self._times_ms: deque[float] = deque(maxlen=MAX_COUNTED_EVENTS)
 
     def count(self, now_ms: float) -> int:
         """Events in the window that ends now."""
