--- a/client_proxy/limits/pacing.py
+++ b/client_proxy/limits/pacing.py
@@ -186,8 +186,8 @@
         self.in_flight -= 1
         if took_ms is not None:
             self.latency_ms += (0.1 if self.latency_ms else 1.0) * (took_ms - self.latency_ms)
-            # The bound follows the usual latency: a debt that was booked while requests took long would else
-            # be paid off for that long by an instance whose requests are quick again, and reject meanwhile.
+            # The bound follows the usual latency at once. Applied at the next question alone, the time until
+            # then would be paid off from the debt of slower times: a request that is paid for is rejected.
             self._bound_credit()
 
     def record_inflation(self, now_ms: float, inflation: float) -> None:
