--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -4,12 +4,15 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from enum import Enum
-from typing import Protocol, cast
+from typing import cast
 
-from client_proxy.api.settings import Settings
 from client_proxy.clock import now_ms
+from client_proxy.proxy.connection_context import (
+    ConnectionContext,
+    ConnectionState,
+    ConnectionTracker,
+    Phase,
+)
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.errors import BadRequestError
 from client_proxy.proxy.messages import (
@@ -22,8 +25,7 @@
 from client_proxy.proxy.request_parser import ParsedRequest, RequestParser
 from client_proxy.proxy.requests import origin_form, read_request
 from client_proxy.proxy.socket_state import SocketState
-from client_proxy.proxy.stall_detector import STALL_RECHECK_S, StallDetector
-from client_proxy.proxy.trace_ids import TraceIds
+from client_proxy.proxy.stall_detector import STALL_RECHECK_S
 
 # Parsed in one go, hundreds of requests would be queued complete: past this number the rest stays as it came.
 MAX_PIPELINED_REQUESTS = 32
@@ -34,25 +36,6 @@
 NOT_FORWARDED = (b"endpoint-load-metrics",)  # the endpoint's own figures, not for the client
 
 
-class Phase(Enum):
-    """What a connection still does. It only ever goes on to a later phase."""
-
-    OPEN = "open"  # requests are read and answered
-    FINISHING = "finishing"  # no further request is read: pending ones are answered, then it ends
-    HALF_CLOSED = "half_closed"  # our side is shut: what comes is discarded until the client ends its own
-    CLOSED = "closed"
-
-
-class ConnectionState(Enum):
-    """What a connection waits for, as the limits over all connections go by it."""
-
-    AWAITING_REQUEST = "awaiting_request"  # a complete request is due: none, or a part of one, has come
-    BUSY = "busy"  # a request is pending
-    IDLE = "idle"  # between requests
-    WRITE_BLOCKED = "write_blocked"  # its client does not take the answers that are written
-    CLOSING = "closing"  # closed, with its last answer perhaps still to be taken
-
-
 class ReadinessCheck:
     """A request for `/ready`, which the proxy answers itself."""
 
@@ -63,46 +46,12 @@
 """What waits for its turn on a connection: a request, or the error that is its answer."""
 
 
-class ConnectionTracker(Protocol):
-    """The limits over all connections, as far as one connection knows them."""
-
-    def connection_closed(self, connection: ClientConnection) -> None:
-        """Forget a connection."""
-
-    def state_changed(self, connection: ClientConnection) -> None:
-        """Take note that the connection's state may be another one now."""
-
-    def add_pipelined_bytes(self, count: int) -> None:
-        """Take note of so many bytes more, or fewer, that wait for their turn."""
-
-    def too_many_pipelined_bytes(self) -> bool:
-        """Whether all connections together hold too much that waits for its turn."""
-
-    def should_close_connections(self) -> bool:
-        """Whether the next answer should be its connection's last."""
-
-
-class ConnectionContext(Protocol):
-    """The listener, as far as its connections know it."""
-
-    engine: Engine
-    settings: Settings
-    ready: Callable[[], bool]
-    trace_ids: TraceIds
-    stall_detector: StallDetector
-    gives_up: bool  # the process is about to end: what is not yet under way is rejected
-
-    def connection_opened(self, connection: ClientConnection) -> None:
-        """Count a connection, and close one where there are too many."""
-
-    def has_lease(self) -> bool:
-        """Whether anything may be decided at this moment."""
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection of a client: a request at a time, in order."""
 
-    def __init__(self, context: ConnectionContext, limits: ConnectionTracker) -> None:
+    def __init__(
+        self, context: ConnectionContext[ClientConnection], limits: ConnectionTracker[ClientConnection]
+    ) -> None:
         self._context = context
         self._limits = limits
         self._parser = RequestParser(self)
--- a/client_proxy/proxy/connection_limits.py
+++ b/client_proxy/proxy/connection_limits.py
@@ -7,7 +7,8 @@
 from itertools import islice
 
 from client_proxy.clock import now_ms
-from client_proxy.proxy.client_connection import ClientConnection, ConnectionState
+from client_proxy.proxy.client_connection import ClientConnection
+from client_proxy.proxy.connection_context import ConnectionState
 
 EVICTION_CANDIDATES = 8  # connections that are tried, to find one that can be ended
 CONNECTION_HEADROOM = 32  # connections over the limit that are still accepted, while all others are busy
--- a/client_proxy/proxy/listener.py
+++ b/client_proxy/proxy/listener.py
@@ -8,7 +8,8 @@
 
 from client_proxy.api.settings import Settings
 from client_proxy.clock import now_ms
-from client_proxy.proxy.client_connection import ClientConnection, ConnectionState
+from client_proxy.proxy.client_connection import ClientConnection
+from client_proxy.proxy.connection_context import ConnectionState
 from client_proxy.proxy.connection_limits import ConnectionLimits
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.stall_detector import StallDetector
--- a/tests/proxy/test_lingering.py
+++ b/tests/proxy/test_lingering.py
@@ -10,7 +10,8 @@
 import pytest
 
 from client_proxy.proxy import connection_limits, listener
-from client_proxy.proxy.client_connection import MAX_PIPELINED_REQUESTS, ClientConnection, Phase
+from client_proxy.proxy.client_connection import MAX_PIPELINED_REQUESTS, ClientConnection
+from client_proxy.proxy.connection_context import Phase
 from client_proxy.proxy.messages import Headers
 from tests.proxy.sockets import KEYED_CLASS, UNSAFE_CLASS, Client, Got, Host, Proxy, http, proxy, run, until
 from tests.proxy.test_before_the_write import patient
