Hold the soak to more: own answers, connections turned away, early ends

Found by reading: bytes that are no answer made the harness's client leave, which excused the request; the answer of another request passed; so did a proxy that refused connections, and one that hung after a SIGTERM during its start and had to be killed. Change: a rule for each; a process that handles a signal is told by one function of the rig, which the signal tests use, too (their series stands once).

--- a/client_proxy/fault_injection/child_process.py
+++ b/client_proxy/fault_injection/child_process.py
@@ -80,6 +80,15 @@
     return 0
 
 
+def handles_signal(pid: int, number: int) -> bool:
+    """Whether it has a handler for the signal (proc(5), SigCgt)."""
+    with suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("SigCgt:"):
+                return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+    return False
+
+
 def waited_s(pid: int) -> float:
     """Seconds that it was ready to run and had no core (schedstat's second figure)."""
     with suppress(OSError):
--- a/client_proxy/fault_injection/soak/clients.py
+++ b/client_proxy/fault_injection/soak/clients.py
@@ -30,6 +30,7 @@
         self._socket_state: SocketState | None = None
         self._waiting: deque[SentRequest] = deque()
         self._answered = asyncio.Event()
+        self._body = b""
         self.ended = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -42,8 +43,17 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
+            self._history.malformed.append((asyncio.get_running_loop().time(), self._plan.number))
             self.leave()
 
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._body = b""
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body += body
+
     def on_message_complete(self) -> None:
         """Record an answer to the oldest request that waits for one."""
         at_s = asyncio.get_running_loop().time()
@@ -55,7 +65,7 @@
         if not self._waiting:
             self._history.unasked.append((at_s, self._plan.number))
             return
-        self._waiting.popleft().answers.append(Answer(at_s, status))
+        self._waiting.popleft().answers.append(Answer(at_s, status, self._body))
         self._answered.set()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/client_proxy/fault_injection/soak/history.py
+++ b/client_proxy/fault_injection/soak/history.py
@@ -23,6 +23,7 @@
 
     at_s: float
     status: int
+    body: bytes = b""
 
 
 @dataclass(slots=True)
@@ -113,6 +114,8 @@
         requests: by trace id.
         arrivals: in the order of time.
         unasked: answers with no request of their connection open: time and connection.
+        malformed: bytes that are no answer: time and connection.
+        turned_away: connections that were refused or reset while they were opened: when.
         ends: of the proxy's processes.
         resources: before the first client and after the first phase.
         killed_s: when the harness killed the proxy; None: it ended by itself.
@@ -122,6 +125,8 @@
     requests: dict[str, SentRequest] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     unasked: list[tuple[float, int]] = field(default_factory=list)
+    malformed: list[tuple[float, int]] = field(default_factory=list)
+    turned_away: list[float] = field(default_factory=list)
     ends: list[ProcessEnd] = field(default_factory=list)
     resources: list[ResourceCount] = field(default_factory=list)
     killed_s: float | None = None
--- a/client_proxy/fault_injection/soak/rules.py
+++ b/client_proxy/fault_injection/soak/rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 LATE_ANSWER_S = 0.5  # past its time an answer earns nothing; past this it is lost
 LEFT_CLIENT_S = 0.1  # so long after its client has gone nothing is sent for a request
 TOLD_TIME_SLACK_S = 0.15
+SERVED = 200
 # An end of a connection and a request on it cross on the wire, where the request was written no more than
 # this before the client could read of the end: neither side can know of the other's (RFC 9112, 9.3.1).
 # A client that is itself late reads of it later by as much.
@@ -52,6 +54,23 @@
             yield f"{request.trace_id}: no answer, though it came on an open connection; {_times(request)}"
     for at_s, connection in history.unasked:
         yield f"connection {connection}: an answer to no request at {at_s:.3f} s"
+    for at_s, connection in history.malformed:
+        yield f"connection {connection}: no HTTP at {at_s:.3f} s"
+
+
+def _own_answer(schedule: Schedule, history: History) -> Iterator[str]:
+    """What a server answered is the answer to this request: servers answer with its trace id."""
+    for request in history.requests.values():
+        for answer in request.answers:
+            if answer.status == SERVED and answer.body != request.trace_id.encode():
+                yield f"{request.trace_id}: got the answer {answer.body[:60]!r}"
+
+
+def _accepts(schedule: Schedule, history: History) -> Iterator[str]:
+    """New connections are taken up to the end of the schedule's, unless a crowd fills the descriptors."""
+    if not schedule.crowd:
+        for at_s in history.turned_away:
+            yield f"a connection was turned away at {at_s:.3f} s"
 
 
 def _times(request: SentRequest) -> str:
@@ -145,8 +164,12 @@
 def _exit(schedule: Schedule, history: History) -> Iterator[str]:
     """A proxy ends with 0 or by the kill; one that was asked to end while it started, by that signal too."""
     for end in history.ends:
-        by_signal = end.code < 0
-        if end.code != 0 and not (by_signal and (end.killed or end.early)):
+        allowed = {0}
+        if end.killed:
+            allowed.add(-signal.SIGKILL)
+        elif end.early:
+            allowed.add(-signal.SIGTERM)
+        if end.code not in allowed:
             yield f"exit code {end.code}: {end.log[-300:]}"
         if "Traceback" in end.log:
             yield f"a traceback: {end.log[-300:]}"
@@ -167,6 +190,8 @@
 
 RULES: dict[str, Rule] = {
     "one answer": _one_answer,
+    "own answer": _own_answer,
+    "accepts": _accepts,
     "in time": _in_time,
     "client left": _nothing_for_clients_that_left,
     "told time": _told_time,
--- a/client_proxy/fault_injection/soak/runner.py
+++ b/client_proxy/fault_injection/soak/runner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import resource
 import signal
 from collections.abc import Callable, Coroutine
@@ -14,7 +13,16 @@
 from typing import Any
 
 from client_proxy.api.settings import Idempotency
-from client_proxy.fault_injection.child_process import ROOT, SYN_SENT, Child, descriptors, sockets, states
+from client_proxy.fault_injection.child_process import (
+    ROOT,
+    SYN_SENT,
+    Child,
+    descriptors,
+    handles_signal,
+    sockets,
+    states,
+)
+from client_proxy.fault_injection.fleet import address_part
 from client_proxy.fault_injection.soak.clients import READY_REQUEST, ClientConnection, IdleCrowd
 from client_proxy.fault_injection.soak.history import History, ProcessEnd, ResourceCount
 from client_proxy.fault_injection.soak.rules import Breach, check
@@ -31,8 +39,7 @@
 
 MODULE, OPERATORS = "client_proxy.proxy", "deploy/platform.toml"
 READY_WITHIN_S = 30.0
-PORT = 8080
-FIRST_NETWORK, NETWORKS, HOSTS = 128, 120, 250  # of the second number of the addresses, and of the others
+HOST, PORT = 240, 8080  # of the proxy, in the part of the loopback network that is this run's
 EARLY_END_WITHIN_S = 10.0
 LOOK_S = 0.01  # between two looks at what the system tells no event of
 START_SERIES_GAP_S = 0.01  # between two SIGHUPs to a proxy that starts
@@ -108,7 +115,7 @@
         for discovery in self._discoveries:
             await discovery.listen()
         # An address of this run's own: a free port of a shared one might be another run's by the time of use.
-        self._address = (own_host(self.schedule.seed), PORT)
+        self._address = (f"{address_part(self.schedule.seed)}.{HOST}", PORT)
         self._crowd = IdleCrowd(self.schedule.crowd, self._address)
 
     def _write_configuration(self) -> None:
@@ -120,40 +127,13 @@
             "discovery": "{}:{}".format(*discovery.address),
             "seed": f"{self.schedule.seed:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.schedule.descriptors},
-            "settings": self._settings(),
+            "settings": platform_settings(self.schedule),
             "known": self._discoveries[0].known(),
         }
         draft = self.folder / "config.new"
         draft.write_text(json.dumps(config))
         draft.replace(self.folder / "config.json")
 
-    def _settings(self) -> dict[str, Any]:
-        categories = [
-            {
-                "name": cls.name,
-                "aim_ms": 600.0 * cls.deadline_s,
-                "deadline_ms": 1000.0 * cls.deadline_s,
-                "effect": IDEMPOTENCY_NAMES[cls.idempotency],
-                "group": "cell",
-                "window_ms": 1000.0 * cls.window_s,
-                "worth": 1.0,
-            }
-            for cls in self.schedule.classes
-        ]
-        bounds = {
-            "max_attempts": 3, "connect_timeout_ms": 250.0, "conn_idle_ms": 400.0, "parallel_tries": True,
-            "cancel": True,
-        }  # fmt: skip
-        safety = {
-            "cold_ms": 1.0, "cold_share": 1.0, "fall_ms": 2000.0, "fall_multiple": 3.0,
-            "drain_grace_ms": 1000.0, "must_ask_in_ms": 10000.0,
-        }  # fmt: skip
-        return {
-            "balancers": 1, "zone": "a", "zones": ["a"], "bounds": bounds, "categories": categories,
-            "discovery": "subscribe", "reporting": {"how": "inline", "fields": ["inflight", "queue"]},
-            "safety": safety,
-        }  # fmt: skip
-
     async def _begin_process(self) -> None:
         self._write_configuration()
         environment = {"LB_CONFIG": str(self.folder / "config.json")}
@@ -193,12 +173,7 @@
                 await asyncio.sleep(LOOK_S)
 
     def _handles_hangup(self) -> bool:
-        try:
-            status = Path(f"/proc/{self._child.pid}/status").read_text()
-        except OSError:
-            return False
-        caught = next(line for line in status.splitlines() if line.startswith("SigCgt")).split()[1]
-        return bool(int(caught, 16) >> (signal.SIGHUP - 1) & 1)
+        return handles_signal(self._child.pid, signal.SIGHUP)
 
     async def _hang_up_while_starting(self) -> None:
         while self._child.up:
@@ -265,7 +240,8 @@
                 lambda: ClientConnection(plan, self._classes, self.history), *self._address
             )
         except OSError:
-            return  # it has stopped accepting
+            self.history.turned_away.append(loop.time() - self._start_s)
+            return
         self._clients[connection] = plan
         await connection.use()
 
@@ -303,13 +279,13 @@
         await asyncio.gather(*self._tasks)
 
     async def _record_end(self, early: bool) -> None:
-        killed = self.history.killed_s is not None or self._child.up
+        killed = self.history.killed_s is not None  # by the schedule: one that has to be killed early hangs
         if self._child.up:
             await self._child.kill()
         code = await self._child.ended(EARLY_END_WITHIN_S)
         log = self._child.log.read_text(errors="replace")
         self._child.log.unlink()
-        self.history.ends.append(ProcessEnd(code or 0, killed and not early, early, log))
+        self.history.ends.append(ProcessEnd(code or 0, killed, early, log))
 
     async def _clean_up(self) -> None:
         if self._child.up and states(self._child.pid) == "T":
@@ -333,9 +309,33 @@
             self.history.worst_lateness_s = max(self.history.worst_lateness_s, late_s)
 
 
-def own_host(seed: int) -> str:
-    """Return a loopback address that runs of other seeds and other processes do not use."""
-    return f"127.{FIRST_NETWORK + os.getpid() % NETWORKS}.{seed // HOSTS % HOSTS}.{1 + seed % HOSTS}"
+def platform_settings(schedule: Schedule) -> dict[str, Any]:
+    """Return the settings that the platform would give the proxy of this run."""
+    categories = [
+        {
+            "name": cls.name,
+            "aim_ms": 600.0 * cls.deadline_s,
+            "deadline_ms": 1000.0 * cls.deadline_s,
+            "effect": IDEMPOTENCY_NAMES[cls.idempotency],
+            "group": "cell",
+            "window_ms": 1000.0 * cls.window_s,
+            "worth": 1.0,
+        }
+        for cls in schedule.classes
+    ]
+    bounds = {
+        "max_attempts": 3, "connect_timeout_ms": 250.0, "conn_idle_ms": 400.0, "parallel_tries": True,
+        "cancel": True,
+    }  # fmt: skip
+    safety = {
+        "cold_ms": 1.0, "cold_share": 1.0, "fall_ms": 2000.0, "fall_multiple": 3.0,
+        "drain_grace_ms": 1000.0, "must_ask_in_ms": 10000.0,
+    }  # fmt: skip
+    return {
+        "balancers": 1, "zone": "a", "zones": ["a"], "bounds": bounds, "categories": categories,
+        "discovery": "subscribe", "reporting": {"how": "inline", "fields": ["inflight", "queue"]},
+        "safety": safety,
+    }  # fmt: skip
 
 
 async def play(seed: int, folder: Path) -> Verdict:
--- a/tests/fault_injection/test_soak.py
+++ b/tests/fault_injection/test_soak.py
@@ -71,7 +71,9 @@
 
 def request(trace_id: str = "000000", class_name: str = KEYED) -> SentRequest:
     """One that was sent at 10 s with a second to wait, and answered after 0.2 s."""
-    return SentRequest(trace_id, class_name, 0, False, 10.0, 1.0, sent_s=10.0, answers=[Answer(10.2, 200)])
+    return SentRequest(
+        trace_id, class_name, 0, False, 10.0, 1.0, sent_s=10.0, answers=[Answer(10.2, 200, trace_id.encode())]
+    )
 
 
 def arrival(at_s: float = 10.1, told_s: float = 0.9, cell: int = 0) -> Arrival:
@@ -95,7 +97,7 @@
 
 def test_a_second_answer_is_seen() -> None:
     sent = request()
-    sent.answers.append(Answer(10.3, 200))
+    sent.answers.append(Answer(10.3, 200, sent.trace_id.encode()))
     assert broken_rules(history_of(sent, arrival())) == {"one answer"}
 
 
@@ -103,6 +105,23 @@
     assert broken_rules(History(unasked=[(1.0, 0)])) == {"one answer"}
 
 
+def test_bytes_that_are_no_answer_are_seen() -> None:
+    assert broken_rules(History(malformed=[(1.0, 0)])) == {"one answer"}
+
+
+def test_the_answer_of_another_request_is_seen() -> None:
+    sent = request()
+    sent.answers = [Answer(10.2, 200, b"000001")]
+    assert broken_rules(history_of(sent, arrival())) == {"own answer"}
+
+
+@pytest.mark.parametrize(("crowd", "broken"), [(0, {"accepts"}), (CROWD_CONNECTIONS, set())])
+def test_a_connection_that_is_turned_away_is_seen_unless_a_crowd_fills_the_descriptors(
+    crowd: int, broken: set[str]
+) -> None:
+    assert broken_rules(History(turned_away=[1.0]), replace(schedule(), crowd=crowd)) == broken
+
+
 def test_a_request_that_a_server_saw_and_nobody_answered_is_seen() -> None:
     sent = request()
     sent.answers, sent.connection_ended_s = [], 10.001
@@ -184,6 +203,9 @@
     [
         (ProcessEnd(-signal.SIGHUP, False, False, ""), {"exit"}),
         (ProcessEnd(1, False, False, ""), {"exit"}),
+        (ProcessEnd(-signal.SIGHUP, False, True, ""), {"exit"}),
+        (ProcessEnd(-signal.SIGKILL, False, True, ""), {"exit"}),
+        (ProcessEnd(-signal.SIGTERM, True, False, ""), {"exit"}),
         (ProcessEnd(0, False, False, "Traceback (most recent call last)"), {"exit"}),
         (ProcessEnd(-signal.SIGTERM, False, True, ""), set()),
         (ProcessEnd(-signal.SIGKILL, True, False, ""), set()),
--- a/tests/proxy/test_signals.py
+++ b/tests/proxy/test_signals.py
@@ -23,6 +23,7 @@
 
 import pytest
 
+from client_proxy.fault_injection.child_process import handles_signal
 from client_proxy.process_signals import ProcessSignals
 from tests.proxy.sockets import Client, Got, Host, Registry, entry, http, run, start_process, until
 from tests.proxy.test_program import connected, free_port, start, written
@@ -37,13 +38,6 @@
     return process.returncode is None
 
 
-def handles(pid: int, number: signal.Signals) -> bool:
-    """Whether the process has a handler for the signal (proc(5), SigCgt)."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    caught = int(next(row for row in status.splitlines() if row.startswith("SigCgt")).split()[1], 16)
-    return bool(caught >> (number - 1) & 1)
-
-
 async def send_until(
     process: asyncio.subprocess.Process, number: signal.Signals, holds: Callable[[], bool]
 ) -> int:
@@ -64,6 +58,19 @@
     return status
 
 
+async def bears_a_series(process: asyncio.subprocess.Process, port: int) -> None:
+    """SIGHUP comes again and again, from now on until the process is gone; it serves, and ends in order."""
+    answered = asyncio.create_task(first_answer(port))
+    count = await send_until(process, signal.SIGHUP, answered.done)
+    assert running(process), f"ended with {process.returncode} after {count} signals"
+    assert await answered == 200
+    process.send_signal(signal.SIGTERM)
+    await send_until(process, signal.SIGHUP, lambda: False)
+    _, err = await process.communicate()
+    assert process.returncode == 0, err
+    assert b"Traceback" not in err
+
+
 def config(folder: Path, port: int, registry: Registry, *hosts: Host) -> dict[str, str]:
     known = {"index": 1, "snapshot": True, "endpoints": [entry(host) for host in hosts]}
     return written(folder, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}", known=known)
@@ -80,16 +87,13 @@
         host, registry = await Host("h").start(), await Registry().start()
         port = free_port()
         process = await start_process(
-            *("/bin/sh", "-c", line("run")), cwd=ROOT, env=os.environ | config(tmp_path, port, registry, host)
+            *("/bin/sh", "-c", line("run")),
+            cwd=ROOT,
+            env=os.environ | config(tmp_path, port, registry, host),
+            stderr=asyncio.subprocess.PIPE,
         )
         await until(lambda: "client_proxy.proxy" in guard.command(process.pid)[1:])
-        answered = asyncio.create_task(first_answer(port))
-        count = await send_until(process, signal.SIGHUP, answered.done)
-        assert running(process), f"ended with {process.returncode} after {count} signals"
-        assert await answered == 200
-        process.send_signal(signal.SIGTERM)
-        await send_until(process, signal.SIGHUP, lambda: False)
-        assert await process.wait() == 0
+        await bears_a_series(process, port)
         host.stop()
         registry.stop()
 
@@ -102,16 +106,8 @@
         host, registry = await Host("h").start(), await Registry().start()
         port = free_port()
         process = await start(config(tmp_path, port, registry, host))
-        await until(lambda: handles(process.pid, signal.SIGHUP))
-        answered = asyncio.create_task(first_answer(port))
-        await send_until(process, signal.SIGHUP, answered.done)
-        assert running(process)
-        assert await answered == 200
-        process.send_signal(signal.SIGTERM)
-        await send_until(process, signal.SIGHUP, lambda: False)
-        _, err = await process.communicate()
-        assert process.returncode == 0, err
-        assert b"Traceback" not in err
+        await until(lambda: handles_signal(process.pid, signal.SIGHUP))
+        await bears_a_series(process, port)
         host.stop()
         registry.stop()
 
@@ -257,16 +253,8 @@
             *(sys.executable, "-m", "client_proxy.cli", "serve", "--config", str(tmp_path / "serve.toml")),
             stderr=asyncio.subprocess.PIPE,
         )
-        await until(lambda: handles(process.pid, signal.SIGHUP))
-        answered = asyncio.create_task(first_answer(port))
-        await send_until(process, signal.SIGHUP, answered.done)
-        assert running(process)
-        assert await answered == 200
-        process.send_signal(signal.SIGTERM)
-        await send_until(process, signal.SIGHUP, lambda: False)
-        _, err = await process.communicate()
-        assert process.returncode == 0, err
-        assert b"Traceback" not in err
+        await until(lambda: handles_signal(process.pid, signal.SIGHUP))
+        await bears_a_series(process, port)
         host.stop()
 
     run(test())
