Test that the signal handlers stand before the program is imported

Found by planting faults: with the handlers installed after the program's imports all signal tests passed, as their series begin with the handler. Change: a probe at the import itself, for the proxy, serve, and a command that handles none. Result: it fails with the handlers installed late, and passes.

--- a/tests/proxy/test_signals.py
+++ b/tests/proxy/test_signals.py
@@ -133,6 +133,38 @@
     assert not set(loaded) & {"asyncio", "logging", "socket", "uvloop", "httptools", "click"}
 
 
+PROBE = """
+import os, runpy, signal, sys
+
+class Probe:
+    def find_spec(self, name, path=None, target=None):
+        if name == sys.argv[-1]:
+            print(callable(signal.getsignal(signal.SIGHUP)), flush=True)
+            os._exit(0)
+
+sys.meta_path.insert(0, Probe())
+module, *sys.argv[1:] = sys.argv[1:]
+runpy.run_module(module, run_name="__main__", alter_sys=True)
+"""
+
+
+@pytest.mark.parametrize(
+    ("words", "imported", "handled"),
+    [
+        (["client_proxy.proxy"], "client_proxy.proxy.program", True),
+        (["client_proxy.cli", "serve"], "client_proxy.cli.commands", True),
+        (["client_proxy.cli", "version"], "client_proxy.cli.commands", False),  # it holds no requests
+    ],
+)
+def test_the_handlers_stand_when_the_program_is_imported(
+    words: list[str], imported: str, handled: bool
+) -> None:
+    said = subprocess.run(
+        [sys.executable, "-c", PROBE, *words, imported], cwd=ROOT, capture_output=True, text=True
+    )
+    assert said.stdout.split() == [str(handled)], said.stderr
+
+
 def test_a_sighup_between_the_first_reading_of_the_file_and_the_loop_counts(tmp_path: Path) -> None:
     # The operators' file is a pipe: the start stands between the two for as long as the test wants.
     async def test() -> None:
