End all processes of a review case, however its script is ended

Cause: SIGTERM to run.sh reached only its shell, so that the case and its client proxies went on until the case's own end; a killed case would have left them for good. An error of a stand-in ended with 1, as a broken rule. Change: review/standins/run.sh forwards signals, ends client proxies that a killed case has left, removes the folder, and has a code of its own for a broken rule.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -23,7 +23,8 @@
     ClassOfRequests("extract-issue", "dedup", 0.62, (636, 756)),
     ClassOfRequests("entry-register", "fragile", 0.38, (795, 945)),
 ]
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit codes of a case. `run.sh` turns 11 into 1: Python itself ends with 1 after any error of a stand-in.
+HELD, BROKEN, NOT_RUN = 0, 11, 2
 LOOK_S = 0.02  # between two looks at the clock and at the memory of the proxies
 MAX_RUN_S = 105.0
 MAX_LATE_MS = 150.0  # stand-ins that were held up for longer can't tell what was late
--- a/review/standins/proxies.py
+++ b/review/standins/proxies.py
@@ -161,6 +161,8 @@
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", run_line, cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        with (self.folder.parent / "pids").open("a", encoding="ascii") as pids:
+            pids.write(f"{self.process.pid}\n")  # for `run.sh`, in case this process is killed
         self.record.add("proxy started", name=self.name, pid=self.process.pid)
 
     def signal(self, number: signal.Signals) -> None:
--- /dev/null
+++ b/review/standins/run.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Runs case $1 from the root, and ends all that it started, however the case or this script is ended.
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+test -x .venv/bin/python || exit 2
+folder=$(mktemp -d) || exit 2
+TMPDIR=$folder PYTHONPATH=review timeout -k 5 110 .venv/bin/python "review/$1/case.py" &
+case_pid=$!
+trap 'kill -TERM $case_pid 2>/dev/null' TERM INT HUP
+wait $case_pid
+code=$?
+while kill -0 $case_pid 2>/dev/null; do # a trap has interrupted the wait
+    wait $case_pid
+    code=$?
+done
+# Client proxies that a killed case has left. Only pids that it wrote down, and only while they still are client proxies.
+if test -f "$folder/pids"; then
+    while read -r pid; do
+        if grep -q client_proxy.proxy "/proc/$pid/cmdline" 2>/dev/null; then kill -KILL "$pid"; fi
+    done <"$folder/pids"
+fi
+rm -rf "$folder"
+case $code in 0) exit 0 ;; 11) exit 1 ;; *) exit 2 ;; esac # 1 is an error of a stand-in, or an end from outside
