Count the bytes of trailers and chunk extensions before they are complete

Cause: the HTTP library reports a header line once it is complete, and holds it until then. The proxy counted the bytes of a response's head as they came, and stopped at the end of the head; the trailer has header lines as well.

Change: MessageBuffer counts all bytes outside of the body as they come, from the start, the end of the head and the last byte of the body on, for requests and responses; responses are parsed in pieces of 4 KiB. Past the limit on headers a response fails its attempt, a request is answered 413 (bounded by the whole message before: 272 KiB). The size of the body no longer counts as one of the trailer, which turned sound messages away.

Why it works: whatever form the parser buffers, its bytes are counted before it gets them, and only bytes that it has reported as body reset it.

--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -15,6 +15,7 @@
 )
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.errors import BadRequestError
+from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES
 from client_proxy.proxy.messages import (
     ClientRequest,
     Headers,
@@ -30,7 +31,6 @@
 # Requests parsed ahead of their turn. Later bytes stay unparsed, so that one large read does not queue
 # hundreds of requests.
 MAX_PIPELINED_REQUESTS = 32
-PARSE_CHUNK_BYTES = 4096  # bytes given to the parser at a time
 PAUSE_READING_BYTES = 64 * 1024  # bytes of pipelined requests; above this, reading is paused
 MAX_DISCARDED_BYTES = 64 * 1024  # bytes read and dropped after a connection's last request
 UNKNOWN_CLASS = "(no such class)"  # class name under which requests of an unknown class are counted
--- a/client_proxy/proxy/errors.py
+++ b/client_proxy/proxy/errors.py
@@ -19,6 +19,18 @@
         self.status = status
 
 
+class MessageTooLargeError(ProxyError, ValueError):
+    """A part of an HTTP message is over its limit.
+
+    Attributes:
+        status: The HTTP status with which a server answers a request of this kind.
+    """
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
 class MalformedMessageError(ProxyError, ValueError):
     """A stream of JSON objects is malformed; later bytes of the stream are unusable."""
 
--- /dev/null
+++ b/client_proxy/proxy/message_buffer.py
@@ -0,0 +1,74 @@
+"""Collects the parts of one HTTP message as the HTTP library reports them, within limits on their sizes."""
+
+from __future__ import annotations
+
+from client_proxy.proxy.errors import MessageTooLargeError
+from client_proxy.proxy.messages import MAX_BODY_BYTES, Headers
+
+PARSE_CHUNK_BYTES = 4096  # bytes given to the HTTP library at a time
+
+
+class MessageBuffer:
+    """The parts of one HTTP message that have been received so far.
+
+    The HTTP library reports a header line only once it is complete, and holds its bytes until then. So the
+    bytes outside of the body are counted as they are received, and not only when they are reported: those of
+    the head, of each chunk's size line, and of the trailer.
+    """
+
+    def __init__(self, max_header_bytes: int) -> None:
+        """Start a message.
+
+        Args:
+            max_header_bytes: Most bytes of the head (with the heads of interim responses), of a chunk's size
+                line, and of the trailer.
+        """
+        self._max_header_bytes = max_header_bytes
+        self.in_head = True
+        self.headers: Headers = []
+        self._body: list[bytes] = []
+        self._header_bytes = 0  # bytes of the names and values in the head or the trailer
+        self._body_bytes = 0
+        self._framing_bytes = (
+            0  # bytes received since the start, the end of the head, or the last of the body
+        )
+
+    @property
+    def body(self) -> bytes:
+        """The part of the body that has been received."""
+        return b"".join(self._body)
+
+    def count_received(self, byte_count: int) -> None:
+        """Count bytes that the HTTP library gets next: at most `PARSE_CHUNK_BYTES`."""
+        self._framing_bytes += byte_count
+
+    def check_framing(self) -> None:
+        """Check the bytes outside of the body, those of incomplete lines included.
+
+        Raises:
+            MessageTooLargeError: There are more than the limit allows.
+        """
+        if self._framing_bytes > self._max_header_bytes:
+            if self.in_head:
+                raise MessageTooLargeError(431, "headers too large")
+            raise MessageTooLargeError(413, "message too large")
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Add a header line of the head or the trailer. Raises MessageTooLargeError."""
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > self._max_header_bytes:
+            raise MessageTooLargeError(431, "headers too large")
+        self.headers.append((name, value))
+
+    def end_head(self) -> None:
+        """Start the body."""
+        self.in_head = False
+        self._header_bytes = self._framing_bytes = 0
+
+    def add_body(self, part: bytes) -> None:
+        """Add a part of the body. Raises MessageTooLargeError."""
+        self._framing_bytes = 0
+        self._body_bytes += len(part)
+        if self._body_bytes > MAX_BODY_BYTES:
+            raise MessageTooLargeError(413, "body too large")
+        self._body.append(part)
--- a/client_proxy/proxy/request_parser.py
+++ b/client_proxy/proxy/request_parser.py
@@ -6,7 +6,8 @@
 
 import httptools
 
-from client_proxy.proxy.errors import BadRequestError
+from client_proxy.proxy.errors import BadRequestError, MessageTooLargeError
+from client_proxy.proxy.message_buffer import MessageBuffer
 from client_proxy.proxy.messages import MAX_BODY_BYTES, Headers
 
 MAX_HEADER_BYTES = 16 * 1024
@@ -41,29 +42,32 @@
         self._handler = handler
         self._parser = httptools.HttpRequestParser(self)
         self.in_message = False  # a part of a request has been parsed
-        self._in_head = True
-        self._message_bytes = 0
         self._reset_message()
 
     def _reset_message(self) -> None:
+        self._message_bytes = 0
         self._target = b""
-        self._headers: Headers = []
-        self._size = 0
-        self._body: list[bytes] = []
+        self._message = MessageBuffer(MAX_HEADER_BYTES)
 
     def feed(self, data: bytes) -> None:
-        """Parse the next bytes of the stream. Raises BadRequestError; the stream is unusable then."""
-        # The HTTP library reports a header only once it is complete, so only this count stops an endless one.
+        """Parse the next bytes of the stream, at most `PARSE_CHUNK_BYTES`.
+
+        Raises BadRequestError; the stream is unusable then.
+        """
         self._message_bytes += len(data)
+        self._message.count_received(len(data))
         try:
             self._parser.feed_data(data)
+            self._message.check_framing()
+        except MessageTooLargeError as error:
+            raise BadRequestError(error.status, str(error)) from None
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            cause = error.__context__
-            if isinstance(cause, BadRequestError):  # raised by a callback below
+            cause = error.__context__  # an exception of a callback below, if one was raised
+            if isinstance(cause, BadRequestError):
                 raise cause from None
+            if isinstance(cause, MessageTooLargeError):
+                raise BadRequestError(cause.status, str(cause)) from None
             raise BadRequestError(400, "malformed request") from error
-        if self._in_head and self._message_bytes > MAX_HEADER_BYTES:
-            raise BadRequestError(431, "headers too large")
         if self._message_bytes > MAX_MESSAGE_BYTES:
             raise BadRequestError(413, "message too large")
 
@@ -72,7 +76,6 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self.in_message = True
-        self._reset_message()
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the target, up to the size limit."""
@@ -82,20 +85,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header, up to the limit on their total size."""
-        self._size += len(name) + len(value)
-        if self._size > MAX_HEADER_BYTES:
-            raise BadRequestError(431, "headers too large")
-        if self._in_head:  # trailers of a chunked body are dropped (RFC 9110, 6.5.1)
-            self._headers.append((name, value.strip(b" \t")))
+        if self._message.in_head:  # trailers of a chunked body are dropped (RFC 9110, 6.5.1)
+            self._message.add_header(name, value.strip(b" \t"))
 
     def on_headers_complete(self) -> None:
         """Check the framing of the body, and reject a stated length over the limit."""
-        self._in_head = False
-        self._size = 0
+        self._message.end_head()
         lengths: list[bytes] = []
         codings: list[bytes] = []
         expects_continue = False
-        for name, value in self._headers:
+        for name, value in self._message.headers:
             # Comparing lengths first is cheaper: most headers are none of the three.
             if len(name) in FRAMING_NAME_SIZES:
                 lowered = name.lower()
@@ -111,20 +110,16 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body, up to the size limit."""
-        self._size += len(body)
-        if self._size > MAX_BODY_BYTES:
-            raise BadRequestError(413, "body too large")
-        self._body.append(body)
+        self._message.add_body(body)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
         self.in_message = False
-        self._in_head = True
-        self._message_bytes = 0
+        target, message = self._target, self._message
+        self._reset_message()
         method: bytes = self._parser.get_method()
         keep_alive: bool = self._parser.should_keep_alive()
-        body = b"".join(self._body)
-        self._handler.request_parsed(ParsedRequest(method, self._target, self._headers, body, keep_alive))
+        self._handler.request_parsed(ParsedRequest(method, target, message.headers, message.body, keep_alive))
 
 
 def check_framing(lengths: list[bytes], codings: list[bytes]) -> None:
--- a/client_proxy/proxy/upstream_connection.py
+++ b/client_proxy/proxy/upstream_connection.py
@@ -12,11 +12,15 @@
 from client_proxy.address import Address
 from client_proxy.api.events import Outcome
 from client_proxy.proxy.connection_slots import ConnectionSlots
+from client_proxy.proxy.errors import MessageTooLargeError
 from client_proxy.proxy.load_report import LoadReportReader
-from client_proxy.proxy.messages import MAX_BODY_BYTES, Headers, UpstreamResponse
+from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES, MessageBuffer
+from client_proxy.proxy.messages import MAX_BODY_BYTES, UpstreamResponse
 from client_proxy.proxy.upstream_attempt import UpstreamAttempt
 
-MAX_HEADER_BYTES = 32 * 1024  # most header bytes of a response, interim responses included
+MAX_HEADER_BYTES = (
+    32 * 1024
+)  # most bytes of a response's head, interim responses included, and of its trailer
 
 
 @dataclass(slots=True, eq=False)
@@ -75,12 +79,9 @@
             self._pool.slots.release(self._release_announced)
 
     def _reset_response(self) -> None:
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self._message = MessageBuffer(MAX_HEADER_BYTES)
         self._complete = False
         self._keep_alive = False
-        self._head_bytes: int | None = 0  # bytes read while in a head, with interim ones; None: in the body
 
     # Called by the pool
 
@@ -147,21 +148,27 @@
         if self.attempt is None:
             self.abort()  # unexpected bytes would be parsed as the next response
             return
-        # The parser reports a header only once it is complete, so only this count stops an endless one.
-        if self._head_bytes is not None:
-            self._head_bytes += len(data)
-        well_formed = True
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            well_formed = False
+        well_formed = self._parse(data)
         if self._complete:
             # Malformed bytes after a complete response make the connection unusable, not the response.
             self._keep_alive = self._keep_alive and well_formed
             self._response_complete(self.attempt)
-        elif not well_formed or (self._head_bytes or 0) > MAX_HEADER_BYTES:
+        elif not well_formed:
             self._response_malformed()
 
+    def _parse(self, data: bytes) -> bool:
+        """Parse a part of a response. Returns whether it is well formed and within the limits."""
+        try:
+            for start in range(0, len(data), PARSE_CHUNK_BYTES):
+                chunk = data[start : start + PARSE_CHUNK_BYTES]
+                self._message.count_received(len(chunk))
+                self._parser.feed_data(chunk)
+                if not self._complete:
+                    self._message.check_framing()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, MessageTooLargeError):
+            return False
+        return True
+
     def _response_malformed(self) -> None:
         """Fail the attempt without serving the response.
 
@@ -174,8 +181,9 @@
 
     def _response_complete(self, attempt: UpstreamAttempt) -> None:
         status = self._parser.get_status_code()
-        response = UpstreamResponse(status, self._headers, b"".join(self._body))
-        report, never_ran = self._pool.load_reports.read(self._headers)
+        headers = self._message.headers
+        response = UpstreamResponse(status, headers, self._message.body)
+        report, never_ran = self._pool.load_reports.read(headers)
         outcome = outcome_of(status, never_ran)
         self.attempt = attempt.connection = None
         if self._keep_alive and not self.lost:
@@ -198,34 +206,29 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header, up to the limit on their total size."""
-        self._size += len(name) + len(value)
-        if self._size > MAX_HEADER_BYTES:
-            raise ValueError("headers too large")
-        self._headers.append((name, value))
+        self._message.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Reject a response whose stated length is over the limit, without waiting for its body."""
         if self._parser.get_status_code() < 200:
             return  # an interim response; its head counts towards the limit of the final one
-        self._head_bytes = None
-        self._size = 0
+        self._message.end_head()
         # The parser has already checked that Content-Length is a number.
         if any(
-            int(value) > MAX_BODY_BYTES for name, value in self._headers if name.lower() == b"content-length"
+            int(value) > MAX_BODY_BYTES
+            for name, value in self._message.headers
+            if name.lower() == b"content-length"
         ):
-            raise ValueError("body too large")
+            raise MessageTooLargeError(413, "body too large")
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body, up to the size limit."""
-        self._size += len(body)
-        if self._size > MAX_BODY_BYTES:
-            raise ValueError("body too large")
-        self._body.append(body)
+        self._message.add_body(body)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, or drop an interim one."""
         if self._parser.get_status_code() < 200:
-            self._headers.clear()
+            self._message.headers.clear()
         else:
             self._complete = True
             # Must be read within this callback: afterwards the parser always returns false.
