Limit the number of header lines of a message to 128

Cause: a header line of a few bytes takes some 160 more (a tuple, two byte strings, an entry), so that a head within its 16 KiB took up to half a megabyte, also while its request was served, where nothing counts it.

Change: a message may have 128 header lines, those of interim responses and its trailer included. A request with more is answered 431, a response with more fails its attempt, as with too many bytes.

Result: the new test fails on the code before (200 for all three) and passes.

--- a/client_proxy/proxy/message_buffer.py
+++ b/client_proxy/proxy/message_buffer.py
@@ -8,6 +8,7 @@
 PARSE_CHUNK_BYTES = 4096  # bytes given to the HTTP library at a time
 # Memory of a header line beyond its name and value: a tuple, two byte strings and an entry of a list.
 HEADER_LINE_OVERHEAD_BYTES = 160
+MAX_HEADER_LINES = 128  # header lines of a message, with those of interim responses and the trailer
 
 
 class MessageBuffer:
@@ -30,6 +31,7 @@
         self.headers: Headers = []
         self._body = bytearray()  # one object for each chunk would take many times the size of small chunks
         self._header_bytes = 0  # bytes of the names and values in the head or the trailer
+        self._header_lines = 0
         self._collected_bytes = 0  # memory of `headers`
         self._framing_bytes = (
             0  # bytes received since the start, the end of the head, or the last of the body
@@ -63,7 +65,8 @@
     def add_header(self, name: bytes, value: bytes) -> None:
         """Add a header line of the head or the trailer. Raises MessageTooLargeError."""
         self._header_bytes += len(name) + len(value)
-        if self._header_bytes > self._max_header_bytes:
+        self._header_lines += 1
+        if self._header_bytes > self._max_header_bytes or self._header_lines > MAX_HEADER_LINES:
             raise MessageTooLargeError(431, "headers too large")
         self._collected_bytes += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
         self.headers.append((name, value))
--- a/tests/proxy/test_held_bytes.py
+++ b/tests/proxy/test_held_bytes.py
@@ -171,3 +171,22 @@
             client.close()
 
     run(test())
+
+
+def test_messages_with_too_many_header_lines_are_turned_away() -> None:
+    # A line of a few bytes takes some 160 more: heads within their limit in bytes took 30 times their size.
+    async def answer(host: Host, received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        lines = {f"A{number}": "b" for number in range(int(received.headers["x-lines"]))}
+        writer.write(http_response(200, b"", **lines))
+
+    async def test() -> None:
+        async with proxy(Host("h", answer)) as p:
+            statuses: list[int] = []
+            for request_lines, response_lines in ((100, 100), (200, 0), (0, 200)):
+                client = await Client.connect(p.port)
+                lines = {f"A{number}": "b" for number in range(request_lines)}
+                statuses.append((await client.ask(X_Lines=str(response_lines), **lines))[0])
+                client.close()
+            assert statuses == [200, 431, 502]
+
+    run(test())
