Count what is read after a stall before it is processed

Cause: after a stall of over half a second bytes wait for 20 ms, so that disconnects of clients are read before requests are started. Meanwhile each turn of the loop read on from every connection, and nothing counted it.

Change: the bytes are counted as they are read. A connection with over 64 KiB of them, or any one while all have too many, is processed at once.

--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -31,7 +31,7 @@
 # Requests parsed ahead of their turn. Later bytes stay unparsed, so that one large read does not queue
 # hundreds of requests.
 MAX_PIPELINED_REQUESTS = 32
-PAUSE_READING_BYTES = 64 * 1024  # bytes of the bodies of pipelined requests; above this, reading is paused
+PAUSE_READING_BYTES = 64 * 1024  # unread bytes, or bytes of pipelined bodies, above which reading is paused
 MAX_DISCARDED_BYTES = 64 * 1024  # bytes read and dropped after a connection's last request
 UNKNOWN_CLASS = "(no such class)"  # class name under which requests of an unknown class are counted
 NOT_FORWARDED = (b"endpoint-load-metrics",)  # the endpoint's load report is not for the client
@@ -124,13 +124,18 @@
         if not self._unread:
             self._received_ms = self._arrival_ms()
         self._unread += data
-        if self._context.stall_detector.recovering():
+        self._count_held()
+        if self._context.stall_detector.recovering() and self._may_wait():
             # A client's disconnect is read only after its request. Processed at once, a thousand requests
             # whose clients left during the stall would be sent to endpoints, ahead of clients still waiting.
             asyncio.get_running_loop().call_later(STALL_RECHECK_S, self._process)
         else:
             self._process()
 
+    def _may_wait(self) -> bool:
+        """Whether the bytes that have been read are few enough to be processed later."""
+        return len(self._unread) <= PAUSE_READING_BYTES and not self._limits.too_many_pipelined_bytes()
+
     def pause_writing(self) -> None:
         """Stop answering a client that does not read its responses, so that they do not pile up in memory."""
         self.writable = False
--- a/tests/proxy/test_held_bytes.py
+++ b/tests/proxy/test_held_bytes.py
@@ -14,6 +14,7 @@
 from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES
 from client_proxy.proxy.messages import MAX_BODY_BYTES
 from client_proxy.proxy.request_parser import MAX_HEADER_BYTES, ParsedRequest, RequestParser
+from client_proxy.proxy.stall_detector import StallDetector
 from client_proxy.proxy.trace_ids import TraceIds
 from tests.proxy.sockets import UNSAFE_CLASS, Client, Host, ReceivedRequest, http_response, proxy, run, until
 from tests.proxy.test_before_the_write import settings_without_timeouts
@@ -207,3 +208,24 @@
     with pytest.raises(BadRequestError) as raised:
         trace_ids.register(b"x" * 15_000 + b"7")
     assert raised.value.status == 409
+
+
+def test_bytes_read_after_a_stall_are_counted_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    # They wait for a moment, to see which clients have left; meanwhile nothing limited what was read.
+    monkeypatch.setattr(StallDetector, "recovering", lambda detector: True)
+
+    async def test() -> None:
+        async with proxy(Host("h")) as p:
+            client = await Client.connect(p.port)
+            await until(lambda: bool(p.listener.connections))
+            (connection,) = p.listener.connections
+            # Directly, as one read after the other within one iteration of the loop, before any timer.
+            connection.data_received(client.encode_request(body=b"x" * 1000)[:-10])
+            assert p.listener.limits.pipelined_bytes > 1000
+            connection.data_received(b"POST" * 16 * 1024)
+            assert connection._phase is Phase.FINISHING
+            assert p.listener.limits.pipelined_bytes == 0
+            assert [(await client.answer())[0] for _ in range(2)] == [200, 400]
+            client.close()
+
+    run(test())
