Free a partial response when its connection to an endpoint closes

Cause: a connection and its HTTP parser refer to each other, so that what was received of a response stayed until some later garbage collection.

Change: a closed connection starts with an empty message and parser.

Result: the new test fails without the change (41,144 bytes held after the close) and passes.

--- a/client_proxy/proxy/upstream_connection.py
+++ b/client_proxy/proxy/upstream_connection.py
@@ -83,6 +83,11 @@
         self._complete = False
         self._keep_alive = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory in bytes of the response that is being received; an upper estimate."""
+        return self._message.held_bytes
+
     # Called by the pool
 
     def send(self, attempt: UpstreamAttempt) -> None:
@@ -142,6 +147,9 @@
         attempt = self.attempt
         if attempt is not None:
             attempt.end(Outcome.RESET if attempt.may_have_reached_endpoint else Outcome.CONNECT_FAILED)
+        # Parser and connection refer to each other: only a garbage collection would free a partial response.
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset_response()
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of a response; end the attempt once the response is complete or malformed."""
--- a/tests/proxy/test_held_bytes.py
+++ b/tests/proxy/test_held_bytes.py
@@ -16,10 +16,11 @@
 from client_proxy.proxy.request_parser import MAX_HEADER_BYTES, ParsedRequest, RequestParser
 from client_proxy.proxy.stall_detector import StallDetector
 from client_proxy.proxy.trace_ids import TraceIds
+from client_proxy.proxy.upstream_connection import UpstreamConnection
 from tests.proxy.sockets import UNSAFE_CLASS, Client, Host, ReceivedRequest, http_response, proxy, run, until
 from tests.proxy.test_before_the_write import settings_without_timeouts
 from tests.proxy.test_front import encode_head
-from tests.proxy.test_upstream import attempt_at
+from tests.proxy.test_upstream import attempt_at, make_pool, run_attempt
 
 CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNKED_HEAD = encode_head(UNSAFE_CLASS, "Transfer-Encoding: chunked")
@@ -229,3 +230,33 @@
             client.close()
 
     run(test())
+
+
+def test_closed_connection_to_an_endpoint_holds_nothing_of_its_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Parser and connection refer to each other, so their memory is freed only at some later collection.
+    closed: list[UpstreamConnection] = []
+    original_connection_lost = UpstreamConnection.connection_lost
+
+    def connection_lost(connection: UpstreamConnection, exc: Exception | None) -> None:
+        original_connection_lost(connection, exc)
+        closed.append(connection)
+
+    monkeypatch.setattr(UpstreamConnection, "connection_lost", connection_lost)
+
+    async def answer(host: Host, received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(CHUNKED_RESPONSE + LONG_CHUNK)
+        await writer.drain()
+        writer.close()
+
+    async def test() -> None:
+        host = await Host("h", answer).start()
+        pool = make_pool()
+        pool.update_endpoint("h", ("127.0.0.1", host.port), None, True)
+        assert (await run_attempt(pool, "h")).outcome is Outcome.RESET
+        (connection,) = closed
+        assert connection.held_bytes == 0
+        host.stop()
+
+    run(test())
