Give the pipeline of a client connection a module of its own

Change: Pipeline holds the requests, probes and errors that wait, and keeps their sums as they come and go. No change in what the proxy does.

--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import cast
 
 from client_proxy.clock import now_ms
@@ -16,37 +15,19 @@
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.errors import BadRequestError
 from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES
-from client_proxy.proxy.messages import (
-    ClientRequest,
-    Headers,
-    UpstreamResponse,
-    encode_response,
-    end_to_end_headers,
-)
+from client_proxy.proxy.messages import Headers, UpstreamResponse, encode_response, end_to_end_headers
+from client_proxy.proxy.pipeline import READINESS_CHECK, Pipeline, ReadinessCheck
 from client_proxy.proxy.request_parser import ParsedRequest, RequestParser
 from client_proxy.proxy.requests import origin_form, read_request
 from client_proxy.proxy.socket_state import SocketState
 from client_proxy.proxy.stall_detector import STALL_RECHECK_S
 
-# Requests parsed ahead of their turn. Later bytes stay unparsed, so that one large read does not queue
-# hundreds of requests.
-MAX_PIPELINED_REQUESTS = 32
 PAUSE_READING_BYTES = 64 * 1024  # unread bytes, or bytes of pipelined bodies, above which reading is paused
 MAX_DISCARDED_BYTES = 64 * 1024  # bytes read and dropped after a connection's last request
 UNKNOWN_CLASS = "(no such class)"  # class name under which requests of an unknown class are counted
 NOT_FORWARDED = (b"endpoint-load-metrics",)  # the endpoint's load report is not for the client
 
 
-class ReadinessCheck:
-    """A readiness probe (`GET /ready`), which the proxy answers itself."""
-
-
-READINESS_CHECK = ReadinessCheck()
-
-Pipelined = ClientRequest | ReadinessCheck | BadRequestError
-"""An entry of a connection's pipeline: a request, a readiness probe, or the error to answer with."""
-
-
 class ClientConnection(asyncio.Protocol):
     """A client connection, which serves one request at a time, in order."""
 
@@ -58,7 +39,7 @@
         self._parser = RequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._socket_state: SocketState | None = None
-        self._pipeline: deque[Pipelined] = deque()
+        self._pipeline = Pipeline()
         self._in_progress = False  # the current request has no final response yet
         self._current_id: int | None = None  # the current request's id at `_engine`
         # The engine that accepted the current request; by now the engine of a later policy may be active.
@@ -200,7 +181,7 @@
         self._limits.state_changed(self)
 
     def _parse(self) -> None:
-        while self._unread and self._phase is Phase.OPEN and len(self._pipeline) < MAX_PIPELINED_REQUESTS:
+        while self._unread and self._phase is Phase.OPEN and not self._pipeline.full:
             chunk, self._unread = self._unread[:PARSE_CHUNK_BYTES], self._unread[PARSE_CHUNK_BYTES:]
             try:
                 self._parser.feed(chunk)
@@ -226,11 +207,8 @@
         """
         if self._transport is None or self._transport.is_closing():
             return
-        bodies = [queued.body for queued in self._pipeline if isinstance(queued, ClientRequest)]
         must_pause = (
-            len(self._pipeline) >= MAX_PIPELINED_REQUESTS
-            or sum(map(len, bodies)) > PAUSE_READING_BYTES
-            or bool(self._unread)
+            self._pipeline.full or self._pipeline.body_bytes > PAUSE_READING_BYTES or bool(self._unread)
         )
         if must_pause or not self.writable:
             if self._unread_since_ms is None:
@@ -249,10 +227,7 @@
 
     def _count_held(self) -> None:
         """Count the memory of pipelined requests and of the unfinished one, and report it to the limits."""
-        pipelined_bytes = len(self._unread)
-        for queued in self._pipeline:
-            if isinstance(queued, ClientRequest):
-                pipelined_bytes += queued.held_bytes
+        pipelined_bytes = len(self._unread) + self._pipeline.held_bytes
         self._limits.add_pipelined_bytes(pipelined_bytes - self._pipelined_bytes)
         self._pipelined_bytes = pipelined_bytes
         unfinished_bytes = self.unfinished_bytes
--- a/tests/proxy/test_lingering.py
+++ b/tests/proxy/test_lingering.py
@@ -10,9 +10,10 @@
 import pytest
 
 from client_proxy.proxy import connection_limits, listener
-from client_proxy.proxy.client_connection import MAX_PIPELINED_REQUESTS, ClientConnection
+from client_proxy.proxy.client_connection import ClientConnection
 from client_proxy.proxy.connection_context import Phase
 from client_proxy.proxy.messages import Headers
+from client_proxy.proxy.pipeline import MAX_PIPELINED_REQUESTS
 from tests.proxy.sockets import (
     KEYED_CLASS,
     UNSAFE_CLASS,
--- a/tests/proxy/test_time_told.py
+++ b/tests/proxy/test_time_told.py
@@ -17,7 +17,8 @@
 
 from client_proxy.api.events import TimerFired
 from client_proxy.clock import use_clock
-from client_proxy.proxy.client_connection import MAX_PIPELINED_REQUESTS, ClientConnection
+from client_proxy.proxy.client_connection import ClientConnection
+from client_proxy.proxy.pipeline import MAX_PIPELINED_REQUESTS
 from tests.proxy.sockets import (
     KEYED_CLASS,
     UNSAFE_CLASS,
