Count headers of a message with one counter in place of three

Need: the count of header lines and their bytes is on the path of each request and response.

Change: lines are counted by their list, and the limit moves on at the end of the head; the limits are as before, but that header lines of interim responses, which are dropped, count by their bytes alone. Bytes read after a stall are counted only then.

--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -105,7 +105,6 @@
         if not self._unread:
             self._received_ms = self._arrival_ms()
         self._unread += data
-        self._count_held()
         if self._context.stall_detector.recovering() and self._may_wait():
             # A client's disconnect is read only after its request. Processed at once, a thousand requests
             # whose clients left during the stall would be sent to endpoints, ahead of clients still waiting.
@@ -114,7 +113,8 @@
             self._process()
 
     def _may_wait(self) -> bool:
-        """Whether the bytes that have been read are few enough to be processed later."""
+        """Count the bytes that have been read; return whether they may be processed later."""
+        self._count_held()
         return len(self._unread) <= PAUSE_READING_BYTES and not self._limits.too_many_pipelined_bytes()
 
     def pause_writing(self) -> None:
--- a/client_proxy/proxy/message_buffer.py
+++ b/client_proxy/proxy/message_buffer.py
@@ -8,7 +8,7 @@
 PARSE_CHUNK_BYTES = 4096  # bytes given to the HTTP library at a time
 # Memory of a header line beyond its name and value: a tuple, two byte strings and an entry of a list.
 HEADER_LINE_OVERHEAD_BYTES = 160
-MAX_HEADER_LINES = 128  # header lines of a message, with those of interim responses and the trailer
+MAX_HEADER_LINES = 128  # header lines of a message, with those of its trailer
 
 
 class MessageBuffer:
@@ -19,6 +19,16 @@
     the head, of each chunk's size line, and of the trailer.
     """
 
+    __slots__ = (
+        "_body",
+        "_framing_bytes",
+        "_header_bytes",
+        "_header_limit",
+        "_max_header_bytes",
+        "headers",
+        "in_head",
+    )
+
     def __init__(self, max_header_bytes: int) -> None:
         """Start a message.
 
@@ -30,9 +40,8 @@
         self.in_head = True
         self.headers: Headers = []
         self._body = bytearray()  # one object for each chunk would take many times the size of small chunks
-        self._header_bytes = 0  # bytes of the names and values in the head or the trailer
-        self._header_lines = 0
-        self._collected_bytes = 0  # memory of `headers`
+        self._header_bytes = 0  # bytes of all names and values
+        self._header_limit = max_header_bytes  # most of these at the end of the current head or trailer
         self._framing_bytes = (
             0  # bytes received since the start, the end of the head, or the last of the body
         )
@@ -45,7 +54,8 @@
     @property
     def held_bytes(self) -> int:
         """Memory in bytes of what has been received, with incomplete lines; an upper estimate."""
-        return self._framing_bytes + self._collected_bytes + len(self._body)
+        header_bytes = self._header_bytes + HEADER_LINE_OVERHEAD_BYTES * len(self.headers)
+        return self._framing_bytes + header_bytes + len(self._body)
 
     def count_received(self, byte_count: int) -> None:
         """Count bytes that the HTTP library gets next: at most `PARSE_CHUNK_BYTES`."""
@@ -65,20 +75,19 @@
     def add_header(self, name: bytes, value: bytes) -> None:
         """Add a header line of the head or the trailer. Raises MessageTooLargeError."""
         self._header_bytes += len(name) + len(value)
-        self._header_lines += 1
-        if self._header_bytes > self._max_header_bytes or self._header_lines > MAX_HEADER_LINES:
+        if self._header_bytes > self._header_limit or len(self.headers) >= MAX_HEADER_LINES:
             raise MessageTooLargeError(431, "headers too large")
-        self._collected_bytes += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
         self.headers.append((name, value))
 
     def end_head(self) -> None:
         """Start the body."""
         self.in_head = False
-        self._header_bytes = self._framing_bytes = 0
+        self._framing_bytes = 0
+        self._header_limit = self._header_bytes + self._max_header_bytes
 
     def add_body(self, part: bytes) -> None:
         """Add a part of the body. Raises MessageTooLargeError."""
         self._framing_bytes = 0
-        if len(self._body) + len(part) > MAX_BODY_BYTES:
-            raise MessageTooLargeError(413, "body too large")
         self._body += part
+        if len(self._body) > MAX_BODY_BYTES:
+            raise MessageTooLargeError(413, "body too large")
