Free the last response of an idle connection to an endpoint

Cause: a connection dropped what it had collected of a response with its next request, so that each idle one kept a body, up to 64 KiB.

Change: it is dropped when the response is complete.

--- a/client_proxy/proxy/message_buffer.py
+++ b/client_proxy/proxy/message_buffer.py
@@ -42,9 +42,8 @@
         self._body = bytearray()  # one object for each chunk would take many times the size of small chunks
         self._header_bytes = 0  # bytes of all names and values
         self._header_limit = max_header_bytes  # most of these at the end of the current head or trailer
-        self._framing_bytes = (
-            0  # bytes received since the start, the end of the head, or the last of the body
-        )
+        # Bytes received since the start of the message, the end of its head, or the last byte of its body.
+        self._framing_bytes = 0
 
     @property
     def body(self) -> bytes:
--- a/client_proxy/proxy/upstream_connection.py
+++ b/client_proxy/proxy/upstream_connection.py
@@ -98,7 +98,6 @@
         """
         self.attempt = attempt
         attempt.connection = self
-        self._reset_response()
         encoded = attempt.encode_request()
         try:
             sent = self._sock.send(encoded)
@@ -194,7 +193,9 @@
         report, never_ran = self._pool.load_reports.read(headers)
         outcome = outcome_of(status, never_ran)
         self.attempt = attempt.connection = None
-        if self._keep_alive and not self.lost:
+        keep_alive = self._keep_alive
+        self._reset_response()  # an idle connection would keep the response until its next one
+        if keep_alive and not self.lost:
             self._pool.return_connection(self)
         else:
             # An endpoint with a full queue also rejects requests, but states its load or keeps the connection
