--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -63,9 +63,9 @@
 
 
 def _code(case: Case, held: bool) -> int:
-    ended = [proxy.name for proxy in case.proxies if proxy.exit_code is not None]
+    ended = [f"{proxy.name} with {proxy.exit_code}" for proxy in case.proxies if proxy.exit_code is not None]
     if ended:
-        case.record.say(f"ended by itself: {', '.join(ended)}")
+        case.record.say(f"the rule was broken: ended {', '.join(ended)}")
         return BROKEN
     case.record.say("the rule held" if held else "the rule was broken")
     return HELD if held else BROKEN
--- a/review/stand_ins_2/proxy.py
+++ b/review/stand_ins_2/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -62,6 +63,11 @@
 
     async def start(self, known: Json | None = None, **changes: Any) -> None:
         """Start the process, and wait until it is ready. Raises ProxyFailedError."""
+        await self.spawn(known, **changes)
+        await self.wait_until_ready()
+
+    async def spawn(self, known: Json | None = None, **changes: Any) -> None:
+        """Start the process."""
         config = self.write_config(known, **changes)
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))["run"]
         env = {
@@ -86,15 +92,26 @@
         )
         log.close()
         self._record.add(f"client proxy {self.name} starts")
-        await self._wait_until_ready()
-        self._record.add(f"client proxy {self.name} is ready")
 
-    async def _wait_until_ready(self) -> None:
+    async def wait_until_program(self) -> None:
+        """Wait until the shell round the program has made way for it."""
+        async with asyncio.timeout(READY_LIMIT_S):
+            for _ in itertools.count():
+                if self._is_program():
+                    return
+                await asyncio.sleep(0.001)
+
+    def _is_program(self) -> bool:
+        return b"client_proxy.proxy\0" in Path(f"/proc/{self.pid}/cmdline").read_bytes()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the process is ready. Raises ProxyFailedError."""
         try:
             async with asyncio.timeout(READY_LIMIT_S):
                 await self._poll_until_ready()
         except TimeoutError:
             raise ProxyFailedError(f"{self.name} is not ready after {READY_LIMIT_S} s") from None
+        self._record.add(f"client proxy {self.name} is ready")
 
     async def _poll_until_ready(self) -> None:
         while True:
@@ -135,6 +152,12 @@
             self._process.send_signal(number)
             self._record.add(f"client proxy {self.name} gets {number.name}")
 
+    async def wait_until_ended(self) -> None:
+        """Wait for the end of a process that was told to end."""
+        if self._process is not None:
+            await self._process.wait()
+            self._record.add(f"client proxy {self.name} has ended with {self._process.returncode}")
+
     async def end(self) -> None:
         """Kill the process and wait for its end."""
         if self._process is not None:
