--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -54,7 +54,7 @@
     try:
         async with asyncio.timeout(TIME_LIMIT_S):
             return _code(case, await play(case))
-    except Exception:  # noqa: BLE001 - whatever fails here, the case couldn't run
+    except (Exception, asyncio.CancelledError):  # noqa: BLE001 - whatever fails, the case couldn't run
         case.record.say(f"the case couldn't run: {traceback.format_exc()}")
         return COULD_NOT_RUN
     finally:
