--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -15,7 +15,7 @@
 from review.stand_ins_2.record import Record
 
 TIME_LIMIT_S = 110.0
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 0, 11, 2  # run.sh makes 1 of 11; Python itself ends with 1 after an error
 
 
 class Case:
@@ -35,7 +35,7 @@
 
 
 def main(script: str, play: Callable[[Case], Awaitable[bool]]) -> None:
-    """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
+    """Play a case and exit: `BROKEN`, `HELD` or `COULD_NOT_RUN`."""
     with tempfile.TemporaryDirectory() as folder:
         case = Case(Path(folder))
         code = asyncio.run(_play(case, play))
