Read lists of discovery in steps, with constant work for each byte

Cause: JsonLines.feed copied and searched the line so far anew for each piece, and a watch handled all pieces of one read in one iteration of the loop. Change: JsonTexts scans a byte once; EndpointWatch parses 16 KiB or passes on 128 entries in an iteration and reads no more from its socket meanwhile; endpoint_list decodes entries one by one. On related paths: a decoded message took over twenty times its text (4 MiB of empty objects), and heads and trailers of discovery had no limit. Why it works: the work for a byte no longer depends on the length of its line, and requests get their turn between two steps.

--- a/client_proxy/endpoint_directory.py
+++ b/client_proxy/endpoint_directory.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-from math import isfinite
+from collections.abc import Generator
 from typing import Any
 
-from client_proxy.address import Address, read_address
+from client_proxy.address import Address
 from client_proxy.api.events import EndpointsListed, EndpointState, ListedEndpoint, ListKind
 from client_proxy.clock import unix_offset_ms
+from client_proxy.endpoint_list import EndpointList, read_list, read_list_text
 
 Json = dict[str, Any]
 
-STATES = {state.value: state for state in EndpointState}
-
 
 class EndpointDirectory:
     """The endpoint list, updated by the messages of discovery.
@@ -48,39 +47,24 @@
         Raises:
             ValueError: The message is not a list of endpoints; nothing has changed.
         """
-        try:
-            entries = [
-                (self._read_entry(raw), read_address(str(raw["address"]))) for raw in message["endpoints"]
-            ]
-            full = bool(message.get("snapshot"))
-            index = int(message["index"])
-        except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
-            raise ValueError(f"not a list of endpoints: {error!r}") from None
-        if full:
+        return self.apply_list(read_list(message, self._unix_offset_ms), restored)
+
+    def read_text(self, text: bytes) -> Generator[None, None, EndpointList]:
+        """Reads the text of a message in steps, without applying it; see `read_list_text`."""
+        return read_list_text(text, self._unix_offset_ms)
+
+    def apply_list(self, message: EndpointList, restored: bool = False) -> EndpointsListed:
+        """Applies a message that has been read; for `restored` and the returned event see `apply`."""
+        if message.full:
             self.entries.clear()
             self.addresses.clear()
-        for entry, address in entries:
+        for entry, address in zip(message.endpoints, message.addresses, strict=True):
             if entry.state is EndpointState.GONE:
                 self.entries.pop(entry.name, None)
                 self.addresses.pop(entry.name, None)
             else:
                 self.entries[entry.name] = entry
                 self.addresses[entry.name] = address
-        self.index = index
-        kind = ListKind.RESTORED if restored else ListKind.FULL if full else ListKind.DELTA
-        return EndpointsListed(kind, tuple(entry for entry, _ in entries))
-
-    def _read_entry(self, raw: Json) -> ListedEndpoint:
-        since_ms = float(raw.get("since_ms") or 0)
-        weight = float(raw.get("weight", 1.0))
-        if not isfinite(since_ms) or not 0 <= weight < float("inf"):
-            raise ValueError(f"weight or since_ms is not a valid number: {weight}, {since_ms}")
-        return ListedEndpoint(
-            name=str(raw["name"]),
-            zone=str(raw.get("zone", "")),
-            cell=int(raw.get("group", 0)),
-            weight=weight,
-            # An unknown status, which a later version may add, counts as not ready.
-            state=STATES.get(raw.get("status", "ready"), EndpointState.DRAINING),
-            started_ms=since_ms - self._unix_offset_ms if since_ms else None,
-        )
+        self.index = message.index
+        kind = ListKind.RESTORED if restored else ListKind.FULL if message.full else ListKind.DELTA
+        return EndpointsListed(kind, message.endpoints)
--- a/client_proxy/proxy/discovery.py
+++ b/client_proxy/proxy/discovery.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Generator
 from typing import cast
 
 import httptools
@@ -12,7 +13,8 @@
 from client_proxy.address import Address
 from client_proxy.api.events import EndpointsListed, ListKind
 from client_proxy.endpoint_directory import EndpointDirectory
-from client_proxy.proxy.json_lines import Json, JsonLines
+from client_proxy.endpoint_list import ENTRIES_PER_STEP, EndpointList
+from client_proxy.proxy.json_lines import JsonTexts
 
 log = logging.getLogger(__name__)
 
@@ -27,32 +29,49 @@
 NEXT_CALL_S = 1.0  # allowed for the next call's connect and response
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024  # largest size of one JSON message of a watch
+MAX_FRAMING_BYTES = 32 * 1024  # bytes of a head, a chunk's size line or a trailer
+PARSE_STEP_BYTES = 16 * 1024  # received bytes that are parsed before other work gets its turn
+
+ReadListText = Callable[[bytes], Generator[None, None, EndpointList]]
+"""Reads the text of a message in steps. Raises ValueError if it is not an endpoint list."""
+OnMessage = Callable[[EndpointList | None], bool]
+"""Takes a message, or None for an empty line; returns whether it shows that the watch is alive."""
+OnEnd = Callable[[str, bool], None]
+"""Takes the reason for which a watch has ended, and whether it was an unreadable message."""
 
 
 class EndpointWatch(asyncio.Protocol):
-    """One call to discovery, from its connect to its end, which it reports once through `on_end`."""
+    """One call to discovery, from its connect to its end, which it reports once through `on_end`.
 
-    def __init__(
-        self, on_message: Callable[[Json | None], bool], on_end: Callable[[str, bool], None]
-    ) -> None:
+    What has been received is parsed and passed on in steps, one in each iteration of the event loop, so that
+    a long list, or one that comes in very small pieces, does not delay requests. Meanwhile no more is read.
+    """
+
+    def __init__(self, read_text: ReadListText, on_message: OnMessage, on_end: OnEnd) -> None:
         """Create a watch that is not open yet.
 
         Args:
-            on_message: Called with each message, or None for an empty line; returns whether it shows that
-                the watch is alive. Raises ValueError for a message that is not an endpoint list.
-            ended: Called once at the end with the reason, and whether it was an unreadable message.
+            read_text: Reads the text of a message.
+            on_message: Called with each message.
+            on_end: Called once at the end.
         """
+        self._read_text = read_text
         self._on_message = on_message
-        self._on_end: Callable[[str, bool], None] | None = on_end
+        self._on_end: OnEnd | None = on_end
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
-        self._messages = JsonLines(MAX_MESSAGE_BYTES)
+        self._received = bytearray()  # not parsed yet
+        self._framing_bytes = 0  # parsed since the last byte of the body; the parser may hold all of them
+        self._unparsable = False  # what follows can't be parsed
+        self._texts = JsonTexts(MAX_MESSAGE_BYTES)
+        self._complete_texts: deque[bytes | None] = deque()  # not read yet
+        self._work: Generator[None, None, None] | None = None  # what is left to do of what has been received
+        # Why the watch ends once that is done, and whether because of an unreadable message.
+        self._pending_end: tuple[str, bool] | None = None
         self._timeout: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
 
-    def redirect(
-        self, on_message: Callable[[Json | None], bool], on_end: Callable[[str, bool], None]
-    ) -> None:
+    def redirect(self, on_message: OnMessage, on_end: OnEnd) -> None:
         """Replace the callbacks, unless the watch has ended."""
         if self._on_end is not None:
             self._on_message, self._on_end = on_message, on_end
@@ -101,17 +120,91 @@
             self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the watch."""
-        self.close(f"connection closed: {exc or 'EOF'}")
+        """End the watch, once what it has received before is passed on."""
+        self._end_after_work(f"connection closed: {exc or 'EOF'}")
 
     def data_received(self, data: bytes) -> None:
-        """Parse the next bytes of the response."""
+        """Begin to parse the next bytes of the response."""
         if self._on_end is None:
             return
+        self._received += data
+        if self._work is None:
+            self._work = self._process_received()
+            self._do_step()
+
+    # What has been received
+
+    def _do_step(self) -> None:
+        """Do a step of the work; the next one follows in the next iteration of the loop."""
+        if self._on_end is None or self._work is None:
+            return
+        try:
+            next(self._work)
+        except StopIteration:
+            self._work = None
+            self._work_done()
+        else:
+            if self._transport is not None and self._transport.is_reading():
+                self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._do_step)
+
+    def _work_done(self) -> None:
+        if self._pending_end is not None:
+            self.close(*self._pending_end)
+        elif self._transport is not None and not self._transport.is_reading():
+            self._transport.resume_reading()
+
+    def _stop_parsing(self, reason: str, unreadable: bool = False) -> None:
+        """End the watch once complete messages are passed on; what is behind them can't be parsed."""
+        self._received.clear()
+        self._unparsable = True
+        self._end_after_work(reason, unreadable)
+
+    def _end_after_work(self, reason: str, unreadable: bool = False) -> None:
+        if self._pending_end is None:
+            self._pending_end = (reason, unreadable)
+        if self._work is None:
+            self.close(*self._pending_end)
+
+    def _process_received(self) -> Generator[None, None, None]:
+        """Parse the received bytes and pass on complete messages; yields where a step ends."""
+        entries = 0  # passed on in this step
+        while self._received:
+            self._parse_step()
+            while self._complete_texts:
+                entries += yield from self._pass_on(self._complete_texts.popleft())
+                if self._on_end is None:
+                    return
+                if entries >= ENTRIES_PER_STEP:
+                    entries = 0
+                    yield
+            if self._received:
+                yield
+
+    def _parse_step(self) -> None:
+        data = bytes(self._received[:PARSE_STEP_BYTES])
+        del self._received[:PARSE_STEP_BYTES]
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.close(f"malformed HTTP response: {error}")
+            self._stop_parsing(f"malformed HTTP response: {error}")
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._stop_parsing("malformed HTTP response: head or trailer too long")
+
+    def _pass_on(self, text: bytes | None) -> Generator[None, None, int]:
+        """Read a message and pass it on; returns the number of its entries, at least 1."""
+        try:
+            message = None if text is None else (yield from self._read_text(text))
+        except ValueError as error:
+            self.close(f"unreadable message: {error}", unreadable=True)
+            return 1
+        # Only complete messages restart the timeout, not a partial line.
+        if self._on_end is not None and self._on_message(message) and self._on_end is not None:
+            self._set_timeout(WATCH_TIMEOUT_S)
+        return 1 if message is None else max(1, len(message.endpoints))
+
+    # Called by the parser
 
     def on_headers_complete(self) -> None:
         """End the watch on any status but 200."""
@@ -120,23 +213,18 @@
             self.close(f"response status {status}, expected 200")
 
     def on_body(self, body: bytes) -> None:
-        """Pass on complete messages."""
-        if self._on_end is None:
+        """Collect the texts of complete messages."""
+        self._framing_bytes = 0
+        if self._on_end is None or self._unparsable:
             return
         try:
-            for message in self._messages.feed(body):
-                # Only complete messages restart the timeout, not a partial line.
-                alive = self._on_message(message)
-                if self._on_end is None:
-                    return
-                if alive:
-                    self._set_timeout(WATCH_TIMEOUT_S)
+            self._complete_texts.extend(self._texts.feed(body))
         except ValueError as error:
-            self.close(f"unreadable message: {error}", unreadable=True)
+            self._stop_parsing(f"unreadable message: {error}", unreadable=True)
 
     def on_message_complete(self) -> None:
         """End the watch: the service has ended its response."""
-        self.close("the service ended the watch")
+        self._end_after_work("the service ended the watch")
 
 
 class Discovery:
@@ -188,7 +276,7 @@
         if self._stopped:
             return
         self._answered = False
-        self._watch = EndpointWatch(self._on_message, self._watch_failed)
+        self._watch = EndpointWatch(self._directory.read_text, self._on_message, self._watch_failed)
         self._watch.open(self._address, self._directory.index)
 
     def move(self, address: Address) -> None:
@@ -226,9 +314,9 @@
         if former_watch is not None:
             former_watch.close()
 
-    def _on_former_watch_message(self, message: Json | None) -> bool:
+    def _on_former_watch_message(self, message: EndpointList | None) -> bool:
         if message is not None:
-            event = self._directory.apply(message)
+            event = self._directory.apply_list(message)
             self._directory.index = None
             self._notify(event)
         return True
@@ -237,9 +325,9 @@
         log.info("discovery: the watch at the previous address ended: %s", reason)
         self._former_watch = None
 
-    def _on_message(self, message: Json | None) -> bool:
+    def _on_message(self, message: EndpointList | None) -> bool:
         if message is not None:
-            event = self._directory.apply(message)
+            event = self._directory.apply_list(message)
             self._close_former_watch()
         elif self._answered:
             return True
