Apply changes of the endpoint list at a cost that does not grow with the fleet

Cause: each change sorted all endpoints into their pools, rebuilt the sets of ready ones in routing and load shedding, summed all capacities and compared all endpoints of the connection pool. On related paths: /ready and the search for the longest idle connection went through the whole fleet, gossip's tags were compared in pairs.

--- a/client_proxy/api/policy_hook.py
+++ b/client_proxy/api/policy_hook.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence, Set
+from collections.abc import Collection, Sequence, Set
 from dataclasses import dataclass
 from math import prod
 
@@ -40,6 +40,21 @@
     def endpoints_listed(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
         """Handle a new endpoint list: all endpoints that are known now, in any state."""
 
+    def endpoints_changed(
+        self, now_ms: float, changed: Sequence[ListedEndpoint], endpoints: Collection[ListedEndpoint]
+    ) -> None:
+        """Handle a message of discovery; by default as a new endpoint list.
+
+        A hook whose work should not grow with the fleet overrides this and goes by the changes.
+
+        Args:
+            now_ms: the time.
+            changed: the entries that are new or have changed; of endpoints that are gone, in that state.
+                Empty for a failed call, and where nothing has changed.
+            endpoints: all endpoints that are known now, in any state.
+        """
+        self.endpoints_listed(now_ms, list(endpoints))
+
     def accepts_request(self, now_ms: float, context: PickContext) -> bool:
         """Whether a request that has just arrived is accepted; if not, it is given up at once."""
         return True
@@ -146,6 +161,13 @@
         for hook in self.hooks:
             hook.endpoints_listed(now_ms, endpoints)
 
+    def endpoints_changed(
+        self, now_ms: float, changed: Sequence[ListedEndpoint], endpoints: Collection[ListedEndpoint]
+    ) -> None:
+        """Notify every hook."""
+        for hook in self.hooks:
+            hook.endpoints_changed(now_ms, changed, endpoints)
+
     def accepts_request(self, now_ms: float, context: PickContext) -> bool:
         """Whether every hook accepts the request; hooks after one that does not are not asked."""
         return all(hook.accepts_request(now_ms, context) for hook in self.hooks)
--- a/client_proxy/balancer/balancer.py
+++ b/client_proxy/balancer/balancer.py
@@ -33,6 +33,7 @@
 from client_proxy.balancer.backoff import BACKOFF_BASE_MS
 from client_proxy.balancer.completion import RequestCompletion
 from client_proxy.balancer.endpoint_selection import EndpointSelection
+from client_proxy.balancer.endpoint_set import ListedEntries
 from client_proxy.balancer.errors import DuplicateRequestError, TimeReversedError, UnknownEventError
 from client_proxy.balancer.learning import OutcomeLearner
 from client_proxy.balancer.pending_queue import PendingQueue
@@ -162,15 +163,20 @@
 
     def _on_endpoints_listed(self, event: EndpointsListed) -> None:
         state, endpoints = self._state, self.endpoint_set.endpoints
-        self.endpoint_set.update(event)
-        self.connected_endpoints.endpoints_listed(endpoints.values(), self.endpoint_set.used_endpoint_count())
-        for endpoint in endpoints.values():
-            if endpoint.decayed_ms is None and len(endpoints) > MAX_SCANNED_POOL:
-                # Statistics decay only when an endpoint is a candidate, and in a large pool that is rare; so
-                # the decay of a new endpoint begins now, not when it is first drawn.
-                endpoint.decayed_ms = state.now_ms
+        previous_count = len(endpoints)
+        changes = self.endpoint_set.update(event)
+        self.connected_endpoints.endpoints_changed(
+            (*changes.removed, *changes.updated), self.endpoint_set.used_endpoint_count()
+        )
+        if len(endpoints) > MAX_SCANNED_POOL:
+            # Statistics decay only when an endpoint is a candidate, and in a large pool that is rare; so the
+            # decay of a new endpoint begins now, not when it is first drawn.
+            became_large = previous_count <= MAX_SCANNED_POOL
+            for endpoint in endpoints.values() if became_large else changes.added:
+                if endpoint.decayed_ms is None:
+                    endpoint.decayed_ms = state.now_ms
         if self.hook is not None:
-            self.hook.endpoints_listed(state.now_ms, [endpoint.listed for endpoint in endpoints.values()])
+            self.hook.endpoints_changed(state.now_ms, changes.entries(), ListedEntries(endpoints))
         if event.kind is ListKind.FAILED:
             self._resubscribe()
         elif self._failed_polls:
--- a/client_proxy/balancer/endpoint_set.py
+++ b/client_proxy/balancer/endpoint_set.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections import Counter
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 
 from client_proxy.api.events import EndpointsListed, EndpointState, ListedEndpoint, ListKind
 from client_proxy.api.policy_hook import BalancerHook
@@ -16,6 +18,45 @@
 EXPENSIVE_ZONE_CROSSING = 0.05
 
 
+@dataclass(slots=True)
+class EndpointChanges:
+    """What one list has changed.
+
+    A process that was replaced by another one of its name is in both `added` and `removed`.
+    """
+
+    added: list[Endpoint] = field(default_factory=list)
+    updated: list[Endpoint] = field(default_factory=list)  # the same process with another entry
+    removed: list[Endpoint] = field(default_factory=list)
+
+    def entries(self) -> list[ListedEndpoint]:
+        """The entries of all changed endpoints; of a replaced process only that of the new one."""
+        added = {endpoint.listed.name for endpoint in self.added}
+        gone = [endpoint.listed for endpoint in self.removed if endpoint.listed.name not in added]
+        return gone + [endpoint.listed for endpoint in (*self.updated, *self.added)]
+
+
+class ListedEntries(Collection[ListedEndpoint]):
+    """The entries of all known endpoints, read only where they are needed.
+
+    Args:
+        endpoints: the endpoints, by name.
+    """
+
+    def __init__(self, endpoints: Mapping[str, Endpoint]) -> None:
+        self._endpoints = endpoints
+
+    def __len__(self) -> int:
+        return len(self._endpoints)
+
+    def __iter__(self) -> Iterator[ListedEndpoint]:
+        return (endpoint.listed for endpoint in self._endpoints.values())
+
+    def __contains__(self, entry: object) -> bool:
+        endpoint = self._endpoints.get(entry.name) if isinstance(entry, ListedEndpoint) else None
+        return endpoint is not None and endpoint.listed == entry
+
+
 class EndpointSet:
     """All known endpoints, their pools, and mean statistics, with which a new endpoint starts."""
 
@@ -32,56 +73,94 @@
         self.slowness, self.latency_ms = 1.0, 0.0
         self.error_share = 0.0
         self._most_sends_to_warm = 0
+        # Number of endpoints by their most sends while warm, without those that were sent nothing.
+        self._warm_send_maxima: Counter[int] = Counter()
+
+    def update(self, event: EndpointsListed) -> EndpointChanges:
+        """Apply a list, or changes of it, from discovery; after a failed call the known endpoints stay.
 
-    def update(self, event: EndpointsListed) -> None:
-        """Apply a list, or changes of it, from discovery; after a failed call the known endpoints stay."""
+        The work grows with the entries of the event, and not with the endpoints that are known.
+        """
+        changes = EndpointChanges()
         if event.kind is ListKind.FAILED:
-            return
+            return changes
         if event.kind is not ListKind.DELTA:
             listed = {entry.name for entry in event.endpoints}
             for name in [name for name in self.endpoints if name not in listed]:
-                self._remove(name)
+                self._remove(name, changes)
         for entry in event.endpoints:
-            self._update_endpoint(entry)
-        self._most_sends_to_warm = max((e.most_sends_while_warm for e in self.endpoints.values()), default=0)
-        self._fill_pools()
+            self._update_endpoint(entry, changes)
+        if not all(pool.ring for pool in self.zone_pools.values()):
+            self.zone_pools = {zone: pool for zone, pool in self.zone_pools.items() if pool.ring}
+        self._most_sends_to_warm = max(self._warm_send_maxima, default=0)
+        return changes
 
-    def _update_endpoint(self, entry: ListedEndpoint) -> None:
+    def _update_endpoint(self, entry: ListedEndpoint, changes: EndpointChanges) -> None:
         endpoint = self.endpoints.get(entry.name)
         if entry.state is EndpointState.GONE:
-            self._remove(entry.name)
+            self._remove(entry.name, changes)
         elif endpoint is None or endpoint.listed.started_ms != entry.started_ms:
             # A new endpoint, or a new process behind a known one: earlier statistics do not apply.
-            self._remove(entry.name)
-            self.endpoints[entry.name] = Endpoint(
+            self._remove(entry.name, changes)
+            endpoint = self.endpoints[entry.name] = Endpoint(
                 entry,
                 self.earned_weight,
                 self.slowness,
                 self.latency_ms,
                 self._settings.safety.slow_start_limit_window_ms,
             )
-        else:
+            self._join_pools(endpoint)
+            changes.added.append(endpoint)
+        elif endpoint.listed != entry:
+            self._leave_pools(endpoint)
             endpoint.listed = entry
+            self._join_pools(endpoint)
+            changes.updated.append(endpoint)
 
-    def _fill_pools(self) -> None:
-        ready = [e for e in self.endpoints.values() if e.listed.state is EndpointState.READY]
-        self.local.fill([e for e in ready if self.is_local(e)])
-        self.remote.fill([e for e in ready if not self.is_local(e)])
-        if self._hook is not None and self._hook.orders_zones:
-            previous_pools, self.zone_pools = self.zone_pools, {}
-            for zone in sorted({e.listed.zone for e in ready}):
-                self.zone_pools[zone] = previous_pools.get(zone) or Pool(self._settings, self._hook)
-                self.zone_pools[zone].fill([e for e in ready if e.listed.zone == zone])
+    def _join_pools(self, endpoint: Endpoint) -> None:
+        """Add an endpoint to its pools, if it is ready."""
+        if endpoint.listed.state is not EndpointState.READY:
+            return
+        (self.local if self.is_local(endpoint) else self.remote).add(endpoint)
+        if self._hook is None or not self._hook.orders_zones:
+            return
+        zone = endpoint.listed.zone
+        if zone not in self.zone_pools:
+            zone_pools = {**self.zone_pools, zone: Pool(self._settings, self._hook)}
+            self.zone_pools = {zone: zone_pools[zone] for zone in sorted(zone_pools)}
+        self.zone_pools[zone].add(endpoint)
+
+    def _leave_pools(self, endpoint: Endpoint) -> None:
+        """Remove an endpoint from its pools, if it is ready; its entry must be that with which it joined."""
+        if endpoint.listed.state is not EndpointState.READY:
+            return
+        (self.local if self.is_local(endpoint) else self.remote).remove(endpoint)
+        zone_pool = self.zone_pools.get(endpoint.listed.zone)
+        if zone_pool is not None:
+            zone_pool.remove(endpoint)
 
     def used_endpoint_count(self) -> int:
         """The number of endpoints that this proxy uses, over all its pools."""
         return sum(pool.subset_size for pool in self.zone_pools.values() or (self.local, self.remote))
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, name: str, changes: EndpointChanges) -> None:
         """Remove an endpoint and mark it as gone for the requests that are waiting for its load probe."""
         endpoint = self.endpoints.pop(name, None)
-        if endpoint is not None:
-            endpoint.listed = replace(endpoint.listed, state=EndpointState.GONE)
+        if endpoint is None:
+            return
+        self._leave_pools(endpoint)
+        self._count_warm_sends(endpoint.most_sends_while_warm, 0)
+        endpoint.listed = replace(endpoint.listed, state=EndpointState.GONE)
+        changes.removed.append(endpoint)
+
+    def _count_warm_sends(self, previous: int, current: int) -> None:
+        """Count a changed number of most sends while warm; 0 is not counted."""
+        if previous:
+            self._warm_send_maxima[previous] -= 1
+            if not self._warm_send_maxima[previous]:
+                del self._warm_send_maxima[previous]
+        if current:
+            self._warm_send_maxima[current] += 1
 
     def is_local(self, endpoint: Endpoint) -> bool:
         """Whether the endpoint belongs to the pool that is tried first."""
@@ -96,8 +175,12 @@
         """Record an attempt that is sent to an endpoint now."""
         count = endpoint.recent_sends.add(now_ms)
         if endpoint.warmed_up_share(now_ms, self._settings.safety) >= 1:
-            endpoint.most_sends_while_warm = max(endpoint.most_sends_while_warm, count)
             self._most_sends_to_warm = max(self._most_sends_to_warm, count)
+            previous = endpoint.most_sends_while_warm
+            if count > previous:
+                endpoint.most_sends_while_warm = count
+                if endpoint.listed.state is not EndpointState.GONE:
+                    self._count_warm_sends(previous, count)
 
     def within_slow_start_limit(self, now_ms: float, endpoint: Endpoint) -> bool:
         """Whether an endpoint in slow start may be sent one more attempt within the window.
--- a/client_proxy/balancer/pool.py
+++ b/client_proxy/balancer/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from math import ceil
 from zlib import crc32
 
@@ -30,6 +31,15 @@
 SLOW_START_RELIEF = 2.0
 MAX_SCANNED_POOL = 32  # from a larger subset candidates are drawn at random, without a scan of all endpoints
 
+RingKey = tuple[int, str]
+"""The position of an endpoint on the ring: a hash of its name, and the name where two hashes are equal."""
+
+
+def ring_key(endpoint: Endpoint) -> RingKey:
+    """Return the position of an endpoint on the ring."""
+    name = endpoint.listed.name
+    return crc32(name.encode()), name
+
 
 class Pool:
     """Endpoints in the order in which this proxy uses them, and the admission gate in front of them."""
@@ -40,29 +50,56 @@
         self._ejected = frozenset() if hook is None else hook.ejected
         self._ring_start = settings.ordinal * GOLDEN_RATIO_CONJUGATE % 1
         self._safety = settings.safety
-        self.ring: list[Endpoint] = []  # all endpoints, beginning at this proxy's position on the ring
+        # All endpoints in the order of their ring keys, and these keys; see `ring`.
+        self._sorted: list[Endpoint] = []
+        self._keys: list[RingKey] = []
+        self._ring: list[Endpoint] | None = None  # cached; None after a change
+        self._weight_sum = 0.0
         self.subset_size = 0  # number of endpoints that this proxy uses
-        self._mean_weight = 1.0
         self.admission_gate = AdmissionGate()
         self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.slow_start_limit_window_ms)
 
-    def fill(self, endpoints: list[Endpoint]) -> None:
-        """Replace the endpoints of the pool.
+    @property
+    def ring(self) -> list[Endpoint]:
+        """All endpoints, beginning at this proxy's position on the ring.
 
         The ring is ordered by a hash of the names. If neighbours on the ring were of one zone, they could
         fail together, and all proxies that used them would move on to the same next endpoints. With the hash,
         the next ones are spread over all zones and differ from proxy to proxy.
         """
-        ring = sorted(endpoints, key=lambda e: (crc32(e.listed.name.encode()), e.listed.name))
-        start_index = int(self._ring_start * len(ring))
-        self.ring = ring[start_index:] + ring[:start_index]
-        self._mean_weight = sum(e.listed.weight for e in ring) / max(1, len(ring))
-        subset = ceil(MIN_PROXIES_PER_ENDPOINT * len(ring) / self._proxies)
-        self.subset_size = min(len(ring), max(MIN_SUBSET_SIZE, subset))
+        if self._ring is None:
+            start_index = int(self._ring_start * len(self._sorted))
+            self._ring = self._sorted[start_index:] + self._sorted[:start_index]
+        return self._ring
+
+    def add(self, endpoint: Endpoint) -> None:
+        """Add an endpoint, whose name no endpoint of the pool has."""
+        key = ring_key(endpoint)
+        position = bisect_left(self._keys, key)
+        self._keys.insert(position, key)
+        self._sorted.insert(position, endpoint)
+        self._weight_sum += endpoint.listed.weight
+        self._size_changed()
+
+    def remove(self, endpoint: Endpoint) -> None:
+        """Remove an endpoint of the pool, whose entry must not have changed since it was added."""
+        position = bisect_left(self._keys, ring_key(endpoint))
+        del self._keys[position], self._sorted[position]
+        self._weight_sum = self._weight_sum - endpoint.listed.weight if self._sorted else 0.0
+        self._size_changed()
+
+    def _size_changed(self) -> None:
+        self._ring = None
+        subset = ceil(MIN_PROXIES_PER_ENDPOINT * len(self._sorted) / self._proxies)
+        self.subset_size = min(len(self._sorted), max(MIN_SUBSET_SIZE, subset))
+
+    @property
+    def _mean_weight(self) -> float:
+        return self._weight_sum / max(1, len(self._sorted))
 
     def proxies_per_endpoint(self) -> float:
         """The approximate number of proxies that use each of the pool's endpoints."""
-        return max(1.0, self._proxies * self.subset_size / max(1, len(self.ring)))
+        return max(1.0, self._proxies * self.subset_size / max(1, len(self._sorted)))
 
     def uses_admission_gate(self) -> bool:
         """Whether the gate adapts: only if many proxies share an endpoint; else their own limits suffice."""
@@ -103,9 +140,8 @@
         if self.has_warm_endpoint(now_ms):
             rate = self.work_rate.per_ms(now_ms) / max(1, self.subset_size)
             if endpoint.saturation <= 1:
-                relative_weight = (
-                    min(1.0, endpoint.listed.weight / self._mean_weight) if self._mean_weight else 1.0
-                )
+                mean_weight = self._mean_weight
+                relative_weight = min(1.0, endpoint.listed.weight / mean_weight) if mean_weight else 1.0
                 rate *= SLOW_START_RELIEF * relative_weight
         else:
             rate = 1 / self.proxies_per_endpoint()
--- a/client_proxy/endpoint_directory.py
+++ b/client_proxy/endpoint_directory.py
@@ -28,11 +28,12 @@
         self._unix_offset_ms: float = unix_offset_ms() if predecessor is None else predecessor._unix_offset_ms
         self.entries: dict[str, ListedEndpoint] = {}
         self.addresses: dict[str, Address] = {}
+        self._ready_count = 0
         self.index: int | None = None
 
     def usable(self) -> bool:
         """Whether any endpoint is ready."""
-        return any(entry.state is EndpointState.READY for entry in self.entries.values())
+        return self._ready_count > 0
 
     def apply(self, message: Json, restored: bool = False) -> EndpointsListed:
         """Applies a message of discovery, completely or not at all.
@@ -58,7 +59,11 @@
         if message.full:
             self.entries.clear()
             self.addresses.clear()
+            self._ready_count = 0
         for entry, address in zip(message.endpoints, message.addresses, strict=True):
+            previous = self.entries.get(entry.name)
+            self._ready_count -= previous is not None and previous.state is EndpointState.READY
+            self._ready_count += entry.state is EndpointState.READY
             if entry.state is EndpointState.GONE:
                 self.entries.pop(entry.name, None)
                 self.addresses.pop(entry.name, None)
--- a/client_proxy/limits/congestion.py
+++ b/client_proxy/limits/congestion.py
@@ -77,6 +77,10 @@
         for endpoint in [endpoint for endpoint in self._loads if endpoint not in listed_endpoints]:
             del self._loads[endpoint]
 
+    def forget(self, endpoint: str) -> None:
+        """Drop an endpoint that is not listed any more, if it is known."""
+        self._loads.pop(endpoint, None)
+
     def attempt_sent(self, now_ms: float) -> None:
         """Take note that an attempt was sent."""
         self._is_stale = self._is_stale or (bool(self._loads) and now_ms - self._sent_ms > STALE_AFTER_MS)
--- a/client_proxy/limits/load_shedding.py
+++ b/client_proxy/limits/load_shedding.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence, Set
+from collections.abc import Collection, Sequence, Set
 from dataclasses import replace
 from random import Random
 
@@ -20,8 +20,8 @@
 from client_proxy.limits.congestion import CongestionEstimate
 from client_proxy.limits.pacing import PacedConcurrency
 from client_proxy.limits.priority import PriorityAdmission
+from client_proxy.limits.ready_capacity import ReadyCapacity
 from client_proxy.limits.settings import OverloadSettings
-from client_proxy.rates import warmed_up_share
 
 # Initial limit of all instances together, in requests in flight at each endpoint.
 INITIAL_IN_FLIGHT_PER_ENDPOINT = 16.0
@@ -83,10 +83,9 @@
             (cls.latency_objective_ms for cls in settings.classes), default=1000.0
         )
         self._has_started = False
-        self._ready: set[str] = set()
-        self._safety = settings.safety
+        self._ready = ReadyCapacity(settings.safety)
         self._capacity = 0.0  # of all endpoints by the previous list, in warmed-up endpoints
-        self._endpoints: Sequence[ListedEndpoint] = ()
+        self._has_inherited = False  # observations of endpoints that the first list may not have
         self._is_shedding = False
         self._log_lines: list[str] = []
 
@@ -100,17 +99,42 @@
         self.congestion = predecessor.congestion
         self.congestion.set_rejection_inflation(REJECTION_TARGET_MULTIPLE * self._settings.target_inflation)
         self.admission.inherit_from(predecessor.admission)
-        self._has_started, self._ready = predecessor._has_started, predecessor._ready
-        self._capacity, self._endpoints = predecessor._capacity, predecessor._endpoints
+        self._has_started, self._capacity = predecessor._has_started, predecessor._capacity
+        self._has_inherited = True
         self._is_shedding = predecessor._is_shedding
 
     # Observations
 
     def endpoints_listed(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
         """Start the limit with the first list, and scale it by the capacity of each later one."""
-        # The load of a draining endpoint says nothing about the endpoints that new requests go to.
-        self._ready = {endpoint.name for endpoint in endpoints if endpoint.state is EndpointState.READY}
-        self.congestion.retain(self._ready)
+        listed = {endpoint.name for endpoint in endpoints}
+        for name in [name for name in self._ready if name not in listed]:
+            self._forget(name)
+        self.endpoints_changed(now_ms, endpoints, endpoints)
+
+    def endpoints_changed(
+        self, now_ms: float, changed: Sequence[ListedEndpoint], endpoints: Collection[ListedEndpoint]
+    ) -> None:
+        """Do the same by the changes of the list."""
+        for endpoint in changed:
+            if endpoint.state is EndpointState.READY:
+                self._ready.update(endpoint.name, endpoint.started_ms)
+            else:
+                self._forget(endpoint.name)
+        if self._has_inherited:
+            self._has_inherited = False
+            self.congestion.retain(set(self._ready))
+        self._adapt_to_list(now_ms)
+
+    def _forget(self, name: str) -> None:
+        """Remove an endpoint that is not ready.
+
+        The load of a draining endpoint says nothing about the endpoints that new requests go to.
+        """
+        self._ready.remove(name)
+        self.congestion.forget(name)
+
+    def _adapt_to_list(self, now_ms: float) -> None:
         ready_count = len(self._ready)
         if ready_count and not self._has_started:
             self._has_started = True
@@ -134,18 +158,16 @@
                 self.window = window
         elif isinstance(self.window, PacedConcurrency):
             self.window.scale(INITIAL_PACED_PER_ENDPOINT * ready_count / self._proxies)
-        self._update_capacity(now_ms, endpoints)
+        self._update_capacity(now_ms)
 
-    def _update_capacity(self, now_ms: float, endpoints: Sequence[ListedEndpoint]) -> None:
+    def _update_capacity(self, now_ms: float) -> None:
         """Scale the window by the change of the listed capacity, without ejected endpoints."""
-        self._endpoints = endpoints
         self._ejected_count = len(self._ejected)
-        ready = [endpoint for endpoint in endpoints if endpoint.state is EndpointState.READY]
-        if 2 * len(self._ejected) < len(ready):
+        capacity = self._ready.total(now_ms)
+        if 2 * len(self._ejected) < len(self._ready):
             # The load of ejected endpoints goes to the others now, and would overload them. When half or more
             # are ejected, it is this instance that is partitioned, and the endpoints left have capacity.
-            ready = [endpoint for endpoint in ready if endpoint.name not in self._ejected]
-        capacity = sum(warmed_up_share(now_ms, endpoint.started_ms, self._safety) for endpoint in ready)
+            capacity -= sum(self._ready.share_of(now_ms, name) for name in self._ejected)
         if capacity and self._capacity and isinstance(self.window, ConcurrencyWindow):
             self.window.scale(capacity / self._capacity)
         self._capacity = capacity or self._capacity
@@ -184,7 +206,7 @@
     def accepts_request(self, now_ms: float, context: PickContext) -> bool:
         """Return whether the request is within its class's share of the admitted work."""
         if len(self._ejected) != self._ejected_count:
-            self._update_capacity(now_ms, self._endpoints)
+            self._update_capacity(now_ms)
         class_name = context.request_class.name if context.request_class is not None else ""
         self.admission.request_arrived(class_name, context.expected_work)
         self.window.request_arrived(now_ms, context.expected_work)
--- a/client_proxy/membership/suspicions.py
+++ b/client_proxy/membership/suspicions.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
@@ -115,8 +116,8 @@
             if endpoint.state is EndpointState.READY
         }
         # Servers with the same tag cannot be distinguished, so reports on them are ignored.
-        tags = list(ready.values())
-        self._ready_tags = {server: tag for server, tag in ready.items() if tags.count(tag) == 1}
+        uses = Counter(ready.values())
+        self._ready_tags = {server: tag for server, tag in ready.items() if uses[tag] == 1}
         for server in [server for server in self._probes if server not in self._ready_tags]:
             del self._probes[server]
         for key in [key for key in self._suspicions if key[0] not in self._ready_tags]:
--- a/client_proxy/proxy/discovery.py
+++ b/client_proxy/proxy/discovery.py
@@ -30,7 +30,7 @@
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024  # largest size of one JSON message of a watch
 MAX_FRAMING_BYTES = 32 * 1024  # bytes of a head, a chunk's size line or a trailer
-PARSE_STEP_BYTES = 16 * 1024  # received bytes that are parsed before other work gets its turn
+PARSE_STEP_BYTES = 4 * 1024  # received bytes that are parsed before other work gets its turn
 
 ReadListText = Callable[[bytes], Generator[None, None, EndpointList]]
 """Reads the text of a message in steps. Raises ValueError if it is not an endpoint list."""
--- a/client_proxy/proxy/engine.py
+++ b/client_proxy/proxy/engine.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence, Set
+from collections import deque
+from collections.abc import Callable, Iterator, Sequence, Set
 from typing import TYPE_CHECKING, Protocol
 
 from client_proxy.api.actions import (
@@ -37,6 +38,7 @@
 from client_proxy.balancer.request import DEFAULT_DEADLINE_MS
 from client_proxy.clock import now_ms
 from client_proxy.endpoint_directory import EndpointDirectory
+from client_proxy.endpoint_list import ENTRIES_PER_STEP
 from client_proxy.limits.client_retries import ClientRetries
 from client_proxy.operators import NO_FEATURES, OperatorSettings
 from client_proxy.proxy.messages import ClientRequest
@@ -59,6 +61,22 @@
 NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
+def split_list(event: EndpointsListed) -> Iterator[EndpointsListed]:
+    """Yield events that together have the effect of a list, each with a bounded number of changes.
+
+    The entries of a long list come as changes. A complete one follows at the end, since it also says which
+    endpoints are gone; by then none of its entries is a change. A list of before a restart is not split:
+    nothing is served yet.
+    """
+    if len(event.endpoints) <= ENTRIES_PER_STEP or event.kind is ListKind.RESTORED:
+        yield event
+        return
+    for start in range(0, len(event.endpoints), ENTRIES_PER_STEP):
+        yield EndpointsListed(ListKind.DELTA, event.endpoints[start : start + ENTRIES_PER_STEP])
+    if event.kind is not ListKind.DELTA:
+        yield event
+
+
 class EndpointSubscriber(Protocol):
     """The part of an endpoint source that the engine uses."""
 
@@ -110,6 +128,8 @@
         self._pending: dict[int, PendingRequest] = {}
         self._last_id = 0
         self._events: list[Event] = []
+        self._list_events: deque[EndpointsListed] = deque()  # lists that are not passed on yet
+        self._passing_on_lists = False
         self._scheduled = False
         self._incarnation = 0  # number of the balancer here; timers of earlier balancers are ignored
         self._operators = operators
@@ -208,7 +228,7 @@
         try:
             for action in self.balancer.handle(now_ms(), events):
                 self._execute(action)
-            if self.restore_snapshot is not None:
+            if self.restore_snapshot is not None and not self._passing_on_lists:
                 self.restore_if_listed()
         except Exception:  # a failure in the balancer must not end the process with all requests
             log.exception("the balancer failed; its pending requests are answered, and it is restarted")
@@ -235,20 +255,46 @@
             self.post(EndpointsListed(ListKind.RESTORED, tuple(self._directory.entries.values())))
 
     def notify_endpoints(self, event: EndpointsListed) -> None:
-        """Pass a list or a watch event to the pool, and then to the balancer."""
-        self.update_upstream(event)
-        self.post(event)
+        """Pass a list or a watch event to the pool, and then to the balancer.
+
+        A long list is passed on in steps, one in each iteration of the loop; later events wait behind it.
+        """
+        self._list_events.extend(split_list(event))
+        if not self._passing_on_lists:
+            self._pass_on_list()
+
+    def _pass_on_list(self) -> None:
+        """Pass on events of `ENTRIES_PER_STEP` entries together; the next ones in the next iteration."""
+        entries = 0
+        while self._list_events and entries < ENTRIES_PER_STEP:
+            event = self._list_events.popleft()
+            entries += max(1, len(event.endpoints))
+            self.update_upstream(event)
+            self.post(event)
+        self._passing_on_lists = bool(self._list_events)
+        if self._passing_on_lists:
+            asyncio.get_running_loop().call_soon(self._pass_on_list)
 
     def update_upstream(self, event: EndpointsListed) -> None:
         """Update the pool from a list or a watch event."""
-        leaving = self.retired_endpoint_names() if self.retired_endpoint_names is not None else frozenset()
         for endpoint in event.endpoints:
             address = self._directory.addresses.get(endpoint.name)
             if address is not None:
                 ready = endpoint.state is EndpointState.READY
                 self._upstream.update_endpoint(endpoint.name, address, endpoint.started_ms, ready)
-        if event.kind is not ListKind.FAILED:
-            self._upstream.retain_endpoints(self._directory.entries.keys(), leaving)
+        if event.kind is ListKind.FAILED:
+            return
+        if event.kind is not ListKind.DELTA:
+            self._upstream.retain_endpoints(self._directory.entries.keys(), self._retired_names())
+            return
+        gone = [entry.name for entry in event.endpoints if entry.name not in self._directory.entries]
+        if gone:
+            leaving = self._retired_names()
+            for name in gone:
+                self._upstream.remove_endpoint(name, name in leaving)
+
+    def _retired_names(self) -> Set[str]:
+        return self.retired_endpoint_names() if self.retired_endpoint_names is not None else frozenset()
 
     # Requests
 
--- a/client_proxy/proxy/upstream_pool.py
+++ b/client_proxy/proxy/upstream_pool.py
@@ -64,6 +64,7 @@
         self._dialler = Dialler(self.slots, make_socket)
         self.apply_limits(limits, idle_timeout)
         self.endpoints: dict[str, UpstreamEndpoint] = {}
+        self._idle: dict[UpstreamConnection, None] = {}  # of all endpoints, the longest idle first
         self._sweep: asyncio.TimerHandle | None = None
 
     def apply_limits(self, limits: Limits, idle_timeout: IdleTimeout | None) -> None:
@@ -105,9 +106,16 @@
         Those in `leaving` stay for the drain grace, for requests that were accepted under an earlier list.
         """
         for name in [name for name in self.endpoints if name not in keep]:
-            self._mark_unavailable(self.endpoints[name])
-            if name not in leaving:
-                del self.endpoints[name]
+            self.remove_endpoint(name, name in leaving)
+
+    def remove_endpoint(self, name: str, leaving: bool) -> None:
+        """Mark an endpoint as unavailable, and remove it unless it is leaving (see `retain_endpoints`)."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return
+        self._mark_unavailable(endpoint)
+        if not leaving:
+            del self.endpoints[name]
 
     def still_accepts(self, name: str, address: Address) -> bool:
         """Whether a request accepted under an earlier list may still be sent to this endpoint.
@@ -128,10 +136,10 @@
         if endpoint is not None:
             self._close_idle_of(endpoint)
 
-    @staticmethod
-    def _close_idle_of(endpoint: UpstreamEndpoint) -> None:
+    def _close_idle_of(self, endpoint: UpstreamEndpoint) -> None:
         idle, endpoint.idle = endpoint.idle, []
         for connection in idle:
+            self._idle.pop(connection, None)
             connection.abort()
 
     # Attempts
@@ -181,6 +189,7 @@
         oldest_ms = now_ms() - self._current_idle_timeout_ms()
         while endpoint.idle:
             connection = endpoint.idle.pop()
+            self._idle.pop(connection, None)
             if connection.idle_since_ms > oldest_ms and connection.reusable():
                 return connection
             connection.abort()
@@ -243,14 +252,19 @@
             return
         connection.idle_since_ms = now_ms()
         endpoint.idle.append(connection)
+        self._idle[connection] = None
         if self._sweep is None:
             self._sweep_later(timeout_ms)
 
     def connection_closed(self, connection: UpstreamConnection) -> None:
         """Release the slot of a closed connection, and remove it from the idle ones."""
         connection.release()
-        if connection in connection.endpoint.idle:
-            connection.endpoint.idle.remove(connection)
+        if connection in self._idle:
+            self._remove_idle(connection)
+
+    def _remove_idle(self, connection: UpstreamConnection) -> None:
+        del self._idle[connection]
+        connection.endpoint.idle.remove(connection)
 
     def _sweep_later(self, timeout_ms: float) -> None:
         loop = asyncio.get_running_loop()
@@ -277,6 +291,7 @@
                     if idle_connection.idle_since_ms > oldest_ms
                 ]
                 for connection in expired:
+                    self._idle.pop(connection, None)
                     connection.abort()
             any_left = any_left or bool(endpoint.idle)
         if any_left:
@@ -284,10 +299,9 @@
 
     def _evict_longest_idle(self) -> bool:
         """Close the longest idle connection to free a slot. Returns False if none is idle."""
-        idle = [connection for endpoint in self.endpoints.values() for connection in endpoint.idle]
-        if not idle:
+        if not self._idle:
             return False
-        longest = min(idle, key=lambda connection: connection.idle_since_ms)
-        longest.endpoint.idle.remove(longest)
+        longest = next(iter(self._idle))
+        self._remove_idle(longest)
         longest.abort()
         return True
--- a/client_proxy/routing/connected.py
+++ b/client_proxy/routing/connected.py
@@ -91,19 +91,20 @@
         elif endpoint in self._positions:
             self._remove(endpoint)
 
-    def endpoints_listed(self, endpoints: Iterable[EndpointT], used_endpoint_count: int) -> None:
-        """Drop the endpoints that are not listed as ready: connections to them are closed.
+    def endpoints_changed(self, changed: Iterable[EndpointT], used_endpoint_count: int) -> None:
+        """Drop endpoints that are not listed as ready any more: connections to them are closed.
 
         Args:
-            endpoints: all that are listed.
-            used_endpoint_count: how many of them this proxy uses.
+            changed: the endpoints that a list has changed or removed.
+            used_endpoint_count: how many endpoints this proxy uses.
         """
         self._more_in_use_than_connections = (
             self._connections is not None and used_endpoint_count > self._connections
         )
-        ready = {endpoint for endpoint in endpoints if endpoint.listed.state is EndpointState.READY}
-        for endpoint in [endpoint for endpoint in self._endpoints if endpoint not in ready]:
-            self._remove(endpoint)
+        unready = {endpoint for endpoint in changed if endpoint.listed.state is not EndpointState.READY}
+        if unready:
+            for endpoint in [endpoint for endpoint in self._endpoints if endpoint in unready]:
+                self._remove(endpoint)
 
     def _remove(self, endpoint: EndpointT) -> None:
         position = self._positions.pop(endpoint)
