Count all that peers make the process hold in one account, derived from memory_mb

Cause: up to 32 requests of a connection were queued before any was counted, and what was queued by then stayed; two limits of 8 MiB each knew neither memory_mb nor requests being served, unread answers and answers being received. Change: MemoryAccount counts by kind while parsing; half for what waits, half for what is being served; over it the client that holds most is turned away with 503 or 413, and new requests get 503. On related paths: ids of requests and endpoints listed by discovery had no limit. Why it works: what is held over the limit is at most one parsed chunk (4 KiB as sent), however many clients come. Tests changed: the limits of 8 MiB that three tests set no longer exist, they set the account's limit to the same bytes; one bound is tighter (one read over the limit in place of eight).

--- a/client_proxy/endpoint_directory.py
+++ b/client_proxy/endpoint_directory.py
@@ -12,6 +12,8 @@
 
 Json = dict[str, Any]
 
+DEFAULT_MAX_ENTRIES = 16384  # endpoints that may be known at once
+
 
 class EndpointDirectory:
     """The endpoint list, updated by the messages of discovery.
@@ -22,8 +24,16 @@
         index: Discovery's index of the last message; None: the complete list is needed next.
     """
 
-    def __init__(self, predecessor: EndpointDirectory | None = None) -> None:
-        """Makes an empty list. `predecessor`: a list whose clock offset to Unix time is kept."""
+    def __init__(
+        self, predecessor: EndpointDirectory | None = None, max_entries: int = DEFAULT_MAX_ENTRIES
+    ) -> None:
+        """Makes an empty list.
+
+        Args:
+            predecessor: A list whose clock offset to Unix time and `max_entries` are kept.
+            max_entries: Most endpoints that may be known at once.
+        """
+        self._max_entries: int = max_entries if predecessor is None else predecessor._max_entries
         # Determined once: the balancer treats a changed start time as a restart of the endpoint.
         self._unix_offset_ms: float = unix_offset_ms() if predecessor is None else predecessor._unix_offset_ms
         self.entries: dict[str, ListedEndpoint] = {}
@@ -50,12 +60,24 @@
         """
         return self.apply_list(read_list(message, self._unix_offset_ms), restored)
 
+    def _check_count(self, message: EndpointList) -> None:
+        """Raises ValueError if more endpoints would be known than may be."""
+        known = frozenset() if message.full else self.entries.keys()
+        count = len(known) + len(message.endpoints)
+        if count > self._max_entries:  # counted exactly only where it matters
+            named = {entry.name for entry in message.endpoints}
+            gone = {entry.name for entry in message.endpoints if entry.state is EndpointState.GONE}
+            count = len((known | named) - gone)
+        if count > self._max_entries:
+            raise ValueError(f"{count} endpoints, {self._max_entries} at most")
+
     def read_text(self, text: bytes) -> Generator[None, None, EndpointList]:
         """Reads the text of a message in steps, without applying it; see `read_list_text`."""
         return read_list_text(text, self._unix_offset_ms)
 
     def apply_list(self, message: EndpointList, restored: bool = False) -> EndpointsListed:
-        """Applies a message that has been read; for `restored` and the returned event see `apply`."""
+        """Applies a message that has been read; for the rest see `apply`."""
+        self._check_count(message)
         if message.full:
             self.entries.clear()
             self.addresses.clear()
--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -14,15 +14,18 @@
 )
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.errors import BadRequestError
+from client_proxy.proxy.memory_account import HeldBytes, HeldKind
 from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES
 from client_proxy.proxy.messages import Headers, UpstreamResponse, encode_response, end_to_end_headers
-from client_proxy.proxy.pipeline import READINESS_CHECK, Pipeline, ReadinessCheck
+from client_proxy.proxy.pipeline import READINESS_CHECK, Pipeline, ReadinessCheck, RejectedRequest
 from client_proxy.proxy.request_parser import ParsedRequest, RequestParser
 from client_proxy.proxy.requests import origin_form, read_request
 from client_proxy.proxy.socket_state import SocketState
 from client_proxy.proxy.stall_detector import STALL_RECHECK_S
+from client_proxy.proxy.trace_ids import TraceIdQuota
 
 PAUSE_READING_BYTES = 64 * 1024  # unread bytes, or bytes of pipelined bodies, above which reading is paused
+REQUEST_OVERHEAD_BYTES = 4096  # objects and timers of a request that is being served
 MAX_DISCARDED_BYTES = 64 * 1024  # bytes read and dropped after a connection's last request
 UNKNOWN_CLASS = "(no such class)"  # class name under which requests of an unknown class are counted
 NOT_FORWARDED = (b"endpoint-load-metrics",)  # the endpoint's load report is not for the client
@@ -50,8 +53,14 @@
         self._received_ms = 0.0  # earliest time at which `_unread` may have arrived
         self._unread_since_ms: float | None = None  # start of the read pause; unread bytes may be as old
         self._discarded = 0  # bytes received after the last request
-        self._pipelined_bytes = 0  # its share of `ConnectionLimits.pipelined_bytes`
-        self._unfinished_bytes = 0  # its share of `ConnectionLimits.unfinished_bytes`
+        self._trace_id_quota = TraceIdQuota()
+        # Its parts of the memory account.
+        self._unparsed_bytes = HeldBytes(limits.account, HeldKind.UNPARSED)
+        self._pipelined_bytes = HeldBytes(limits.account, HeldKind.PIPELINED)
+        self._unfinished_bytes = HeldBytes(limits.account, HeldKind.UNFINISHED)
+        self._in_progress_bytes = HeldBytes(limits.account, HeldKind.IN_PROGRESS)
+        self._unsent_bytes = HeldBytes(limits.account, HeldKind.UNSENT)
+        self.waiting_bytes = 0  # those of the first three kinds, as `ConnectionLimits` knows them
         self._has_sent_request = False  # the client has sent a complete request
 
     @property
@@ -91,6 +100,8 @@
         self._phase = Phase.CLOSED
         self._pipeline.clear()
         self._drop_unread()
+        self._in_progress_bytes.set(0)
+        self._unsent_bytes.set(0)
         self._transport = self._socket_state = None
         self._limits.connection_closed(self)
         if self._current_id is not None and self._engine is not None:
@@ -115,7 +126,7 @@
     def _may_wait(self) -> bool:
         """Count the bytes that have been read; return whether they may be processed later."""
         self._count_held()
-        return len(self._unread) <= PAUSE_READING_BYTES and not self._limits.too_many_pipelined_bytes()
+        return len(self._unread) <= PAUSE_READING_BYTES and not self._limits.account.too_much_waiting
 
     def pause_writing(self) -> None:
         """Stop answering a client that does not read its responses, so that they do not pile up in memory."""
@@ -125,6 +136,7 @@
     def resume_writing(self) -> None:
         """Continue with the pipelined requests."""
         self.writable = True
+        self._count_unsent()
         self._process()
 
     # Reading
@@ -167,26 +179,44 @@
         """Parse the received bytes, and start the next request."""
         if self._transport is None:
             return
+        self._unparsed_bytes.set(0)
         self._parse()
         self._start_next_request()
         self._count_held()
-        self._limits.enforce_unfinished_bytes()
-        if self._pipelined_bytes and self._limits.too_many_pipelined_bytes():
-            # Many clients pipelining large requests at once would exhaust the memory. Parsed requests are
-            # still answered.
-            self._reject(BadRequestError(413, "too much ahead of its turn"))
-            self._start_next_request()
-            self._count_held()
+        if self._limits.account.too_much_waiting:
+            self._stop_waiting_ahead()
+        if self._limits.account.full:
+            self._limits.abort_blocked()
         self._throttle_reading()
         self._limits.state_changed(self)
 
     def _parse(self) -> None:
+        """Parse what has been received, as far as the memory for it lasts."""
         while self._unread and self._phase is Phase.OPEN and not self._pipeline.full:
             chunk, self._unread = self._unread[:PARSE_CHUNK_BYTES], self._unread[PARSE_CHUNK_BYTES:]
             try:
                 self._parser.feed(chunk)
             except BadRequestError as error:
                 self._reject(error)
+            self._start_next_request()
+            self._count_parsed()  # without the bytes of this read, which may be no more than a request
+            if self._limits.account.too_much_waiting:
+                self._stop_waiting_ahead()
+
+    def _stop_waiting_ahead(self) -> None:
+        """Bring what waits of all clients back below its limit.
+
+        Many clients that send much ahead at once would exhaust the memory. If this one holds most, it may
+        send no more; what it has sent completely is still answered.
+        """
+        if not self._limits.holds_most(self):
+            self._limits.enforce_waiting()
+        elif self._phase is Phase.OPEN and (self._pipeline or self._unread):
+            self._reject(BadRequestError(413, "too much ahead of its turn"))
+            self._start_next_request()
+            self._count_held()
+        elif self._phase is Phase.OPEN:
+            self.reject_waiting()
 
     def _reject(self, error: BadRequestError) -> None:
         """Queue an error response behind the pending ones, and read no further requests."""
@@ -220,19 +250,27 @@
 
     # The memory of requests that have not started
 
-    @property
-    def unfinished_bytes(self) -> int:
-        """Memory of the unfinished request in bytes; an upper estimate."""
-        return self._parser.held_bytes
-
     def _count_held(self) -> None:
-        """Count the memory of pipelined requests and of the unfinished one, and report it to the limits."""
-        pipelined_bytes = len(self._unread) + self._pipeline.held_bytes
-        self._limits.add_pipelined_bytes(pipelined_bytes - self._pipelined_bytes)
-        self._pipelined_bytes = pipelined_bytes
-        unfinished_bytes = self.unfinished_bytes
-        self._limits.add_unfinished_bytes(unfinished_bytes - self._unfinished_bytes)
-        self._unfinished_bytes = unfinished_bytes
+        """Count the memory of all that waits: unparsed bytes, the unfinished request, and pipelined ones."""
+        self._unparsed_bytes.set(len(self._unread))
+        self._count_parsed()
+
+    def _count_parsed(self) -> None:
+        self._pipelined_bytes.set(self._pipeline.held_bytes)
+        self._unfinished_bytes.set(self._parser.held_bytes)
+        waiting_bytes = (
+            self._unparsed_bytes.byte_count
+            + self._pipelined_bytes.byte_count
+            + self._unfinished_bytes.byte_count
+        )
+        if waiting_bytes != self.waiting_bytes:
+            self._limits.waiting_resized(self, self.waiting_bytes, waiting_bytes)
+            self.waiting_bytes = waiting_bytes
+
+    def _count_unsent(self) -> None:
+        """Count what the client has not read yet of its responses."""
+        if self._transport is not None:
+            self._unsent_bytes.set(self._transport.get_write_buffer_size())
 
     def _drop_unread(self) -> None:
         """Free the unfinished request and the bytes behind it, once no further request is read."""
@@ -240,10 +278,13 @@
         self._parser.discard()
         self._count_held()
 
-    def reject_unfinished(self) -> None:
-        """Turn away the unfinished request, and read no further ones; complete ones are still answered."""
-        self._reject(BadRequestError(503, "too many unfinished requests"))
-        self._drop_unread()
+    def reject_waiting(self) -> None:
+        """Answer 503 to all that waits here, and read no further requests; none of it has run."""
+        if self._parser.in_message or self._unread:
+            self._reject(BadRequestError(503, "too many unfinished requests"))
+            self._drop_unread()
+        self._pipeline.reject_requests()
+        self._count_held()
         self._start_next_request()
         self._limits.state_changed(self)
 
@@ -265,7 +306,7 @@
                 parsed.method, target, parsed.headers, parsed.body, self._context.settings, self._received_ms
             )
             request.held_bytes = parsed.held_bytes
-            self._context.trace_ids.register(request.trace_id)
+            self._context.trace_ids.register(request.trace_id, self._trace_id_quota)
             self._pipeline.append(request)
         if not parsed.keep_alive:
             self._stop_reading_requests()  # bytes after the last request are no request
@@ -282,22 +323,32 @@
                 self._answer(queued.status, [], str(queued).encode())
             elif isinstance(queued, ReadinessCheck):
                 self._answer(200 if self._context.ready() and self._context.has_lease() else 503, [], b"")
-            elif not self._context.has_lease() or self._context.rejects_new_requests:
+            elif isinstance(queued, RejectedRequest) or self._must_reject():
                 self.reject(0.0)
             else:
+                self._in_progress_bytes.set(
+                    queued.held_bytes + len(queued.body) + REQUEST_OVERHEAD_BYTES  # encoded once more
+                )
                 self._engine = self._context.engine
                 self._current_id = self._engine.accept(queued, self)
 
+    def _must_reject(self) -> bool:
+        """Whether no request may start now."""
+        context = self._context
+        return not context.has_lease() or context.rejects_new_requests or self._limits.account.full
+
     def _answer(self, status: int, headers: Headers, body: bytes) -> None:
         if not self._in_progress:
             return
         self._in_progress = False
+        self._in_progress_bytes.set(0)
         self._current_id = self._engine = None
         transport = self._transport
         if transport is None or transport.is_closing():
             return
         is_last = self._closes_after_answer()
         transport.write(encode_response(status, headers, body, is_last))
+        self._count_unsent()
         if is_last:
             self._half_close()
         elif self._pipeline or self._unread:
--- a/client_proxy/proxy/config.py
+++ b/client_proxy/proxy/config.py
@@ -16,6 +16,7 @@
 Json = dict[str, Any]
 
 DEFAULT_SOCKETS = 1024  # descriptors for sockets where the file states no limit
+DEFAULT_MEMORY_MB = 192.0  # memory where the file states no limit
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +30,7 @@
     settings: Settings
     known: Json | None  # the last known endpoint list, as a discovery message
     sockets: int  # descriptors that the process may use for sockets
+    memory_mb: float = DEFAULT_MEMORY_MB  # memory that the process may use
     peer_listen: Address | None = None  # address for gossip between instances
     peers: tuple[Address, ...] = ()
 
@@ -86,6 +88,7 @@
             settings=read_settings(config_object.raw("settings")),
             known=raw.get("known") if isinstance(raw.get("known"), dict) else None,
             sockets=limits.count("sockets", 1) if "sockets" in limits else DEFAULT_SOCKETS,
+            memory_mb=limits.number("memory_mb", above=0.0) if "memory_mb" in limits else DEFAULT_MEMORY_MB,
             peer_listen=configured_address(config_object, "peer_listen") if raw.get("peer_listen") else None,
             peers=tuple(read_address(peer, f"peers[{number}]: ") for number, peer in enumerate(peers)),
         )
--- a/client_proxy/proxy/connection_context.py
+++ b/client_proxy/proxy/connection_context.py
@@ -8,6 +8,7 @@
 
 from client_proxy.api.settings import Settings
 from client_proxy.proxy.engine import Engine
+from client_proxy.proxy.memory_account import MemoryAccount
 from client_proxy.proxy.stall_detector import StallDetector
 from client_proxy.proxy.trace_ids import TraceIds
 
@@ -37,23 +38,25 @@
 class ConnectionTracker(Protocol[ConnectionT]):
     """The part of `ConnectionLimits` that a connection uses."""
 
+    account: MemoryAccount
+
     def connection_closed(self, connection: ConnectionT) -> None:
         """Forget a connection."""
 
     def state_changed(self, connection: ConnectionT) -> None:
         """Update the record of a connection whose state may have changed."""
 
-    def add_pipelined_bytes(self, count: int) -> None:
-        """Add to the pipelined bytes of all connections; a negative count subtracts."""
+    def waiting_resized(self, connection: ConnectionT, old_bytes: int, new_bytes: int) -> None:
+        """Note how many bytes of a connection wait."""
 
-    def too_many_pipelined_bytes(self) -> bool:
-        """Whether the pipelined bytes of all connections exceed their limit."""
+    def holds_most(self, connection: ConnectionT) -> bool:
+        """Whether no other connection makes more wait, by a factor of two."""
 
-    def add_unfinished_bytes(self, count: int) -> None:
-        """Add to the bytes of the unfinished requests of all connections; a negative count subtracts."""
+    def enforce_waiting(self) -> None:
+        """Turn away what waits of the largest clients while too much waits."""
 
-    def enforce_unfinished_bytes(self) -> None:
-        """Turn away the largest unfinished requests while all of them take more memory than their limit."""
+    def abort_blocked(self) -> None:
+        """Close connections whose clients do not read while too much is held of what has started."""
 
     def should_close_connections(self) -> bool:
         """Whether connections should be closed after their next response."""
--- a/client_proxy/proxy/connection_limits.py
+++ b/client_proxy/proxy/connection_limits.py
@@ -1,4 +1,4 @@
-"""Limits over all client connections: how many are open or idle, and the memory of waiting requests."""
+"""Limits over all client connections: how many are open or idle, and the memory that they make it hold."""
 
 from __future__ import annotations
 
@@ -9,17 +9,17 @@
 from client_proxy.clock import now_ms
 from client_proxy.proxy.client_connection import ClientConnection
 from client_proxy.proxy.connection_context import ConnectionState
+from client_proxy.proxy.memory_account import MemoryAccount
+from client_proxy.proxy.waiting_clients import WaitingClients
 
 EVICTION_CANDIDATES = 8  # oldest connections of a state that are asked to close when one has to be closed
 CONNECTION_HEADROOM = 32  # connections over the limit that are accepted while all others are busy
-MAX_PIPELINED_BYTES = 8 * 1024 * 1024  # pipelined bytes of all connections
-MAX_UNFINISHED_BYTES = 8 * 1024 * 1024  # bytes of the unfinished requests of all connections
 
 
 class ConnectionLimits:
     """All client connections, grouped by state, and the limits on them."""
 
-    def __init__(self, max_connections: int, max_idle: int) -> None:
+    def __init__(self, max_connections: int, max_idle: int, account: MemoryAccount) -> None:
         self._max_connections = max_connections
         self._max_idle = max_idle
         self.ending = False  # graceful shutdown: each connection is closed after its next response
@@ -28,9 +28,8 @@
         self.by_state: dict[ConnectionState, dict[ClientConnection, float]] = {
             state: {} for state in ConnectionState
         }
-        # Over all connections: memory of complete requests not started yet and of bytes not parsed yet.
-        self.pipelined_bytes = 0
-        self.unfinished_bytes = 0  # over all connections: memory of incomplete requests
+        self.account = account
+        self._waiting: WaitingClients[ClientConnection] = WaitingClients()
         self._changed = asyncio.Event()  # set when a connection changes its state or closes
 
     # The connections and their states
@@ -114,28 +113,29 @@
                         return True
         return False
 
-    # Limits on the memory of requests that have not started
+    # Limits on memory
 
-    def add_pipelined_bytes(self, count: int) -> None:
-        """Add to the pipelined bytes of all connections; a negative count subtracts."""
-        self.pipelined_bytes += count
+    def waiting_resized(self, connection: ClientConnection, old_bytes: int, new_bytes: int) -> None:
+        """Note how many bytes of a connection wait."""
+        self._waiting.resize(connection, old_bytes, new_bytes)
 
-    def too_many_pipelined_bytes(self) -> bool:
-        """Whether the pipelined bytes of all connections exceed their limit."""
-        return self.pipelined_bytes > MAX_PIPELINED_BYTES
+    def holds_most(self, connection: ClientConnection) -> bool:
+        """Whether no other connection makes more wait, by a factor of two."""
+        return self._waiting.is_in_largest_group(connection.waiting_bytes)
 
-    def add_unfinished_bytes(self, count: int) -> None:
-        """Add to the bytes of the unfinished requests of all connections; a negative count subtracts."""
-        self.unfinished_bytes += count
+    def enforce_waiting(self) -> None:
+        """Turn away what waits of the largest clients while too much waits.
 
-    def enforce_unfinished_bytes(self) -> None:
-        """Turn away the largest unfinished requests while all of them take more memory than their limit.
-
-        The newest one may be a small request of a client that sends it at once; the largest are those of
-        clients that have stopped in the middle.
+        The newest part may be a small request of a client that sends it at once; the largest are those of
+        clients that have stopped in the middle, or have sent much ahead.
         """
-        while self.unfinished_bytes > MAX_UNFINISHED_BYTES:
-            max(self.connections, key=lambda connection: connection.unfinished_bytes).reject_unfinished()
+        while self.account.too_much_waiting and (largest := self._waiting.largest()) is not None:
+            largest.reject_waiting()
+
+    def abort_blocked(self) -> None:
+        """Close connections whose clients do not read while too much is held of what has started."""
+        while self.account.full and (blocked := self.by_state[ConnectionState.WRITE_BLOCKED]):
+            next(iter(blocked)).abort()
 
     async def wait_until_none(self, count: Callable[[], int], timeout_s: float) -> bool:
         """Wait until `count` returns 0. Returns False if the timeout expires first."""
--- a/client_proxy/proxy/daemon.py
+++ b/client_proxy/proxy/daemon.py
@@ -25,6 +25,7 @@
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.json_lines import Json
 from client_proxy.proxy.listener import Listener
+from client_proxy.proxy.memory_account import MemoryAccount, held_limit_bytes, max_endpoints
 from client_proxy.proxy.upstream_pool import UpstreamPool
 from client_proxy.proxy.version_handover import take_over
 from client_proxy.routing.idle_timeout import IdleTimeout
@@ -122,6 +123,7 @@
         retired: Engines of earlier policy versions that still have pending requests.
         directory: The endpoint list of `engine`.
         changes: Number of policy changes so far.
+        memory_account: Counts the memory that peers make the process hold.
     """
 
     def __init__(
@@ -156,7 +158,8 @@
         self._seed, self._operators, self._idle_timeout = config.seed, operators, idle_timeout
         self._listen_address = config.listen
         self.settings = settings
-        self.directory = EndpointDirectory()
+        self.directory = EndpointDirectory(max_entries=max_endpoints(config.memory_mb))
+        self.memory_account = MemoryAccount(held_limit_bytes(config.memory_mb))
         self.upstream = UpstreamPool(
             settings.limits,
             settings.report_fields,
@@ -164,6 +167,7 @@
             quota.upstream_connections,
             make_socket,
             idle_timeout,
+            self.memory_account,
         )
         self.gossip = gossip
         self._persistent_hooks = (gossip.balancer_hook,) if gossip is not None else ()
@@ -178,8 +182,9 @@
         if config.known is not None:
             self._restore_known(config.known)
         self.listener = Listener(
-            self.engine, settings, self.directory.usable, quota.client_connections, quota.max_idle
-        )
+            self.engine, settings, self.directory.usable, quota.client_connections, quota.max_idle,
+            self.memory_account,
+        )  # fmt: skip
 
     def _make_endpoint_source(self, config: Config, factory: EndpointSourceFactory | None) -> EndpointSource:
         if factory is not None:
--- a/client_proxy/proxy/discovery.py
+++ b/client_proxy/proxy/discovery.py
@@ -35,7 +35,10 @@
 ReadListText = Callable[[bytes], Generator[None, None, EndpointList]]
 """Reads the text of a message in steps. Raises ValueError if it is not an endpoint list."""
 OnMessage = Callable[[EndpointList | None], bool]
-"""Takes a message, or None for an empty line; returns whether it shows that the watch is alive."""
+"""Takes a message, or None for an empty line; returns whether it shows that the watch is alive.
+
+Raises ValueError for a message that can't be applied.
+"""
 OnEnd = Callable[[str, bool], None]
 """Takes the reason for which a watch has ended, and whether it was an unreadable message."""
 
@@ -196,12 +199,12 @@
         """Read a message and pass it on; returns the number of its entries, at least 1."""
         try:
             message = None if text is None else (yield from self._read_text(text))
+            # Only complete messages restart the timeout, not a partial line.
+            if self._on_end is not None and self._on_message(message) and self._on_end is not None:
+                self._set_timeout(WATCH_TIMEOUT_S)
         except ValueError as error:
             self.close(f"unreadable message: {error}", unreadable=True)
             return 1
-        # Only complete messages restart the timeout, not a partial line.
-        if self._on_end is not None and self._on_message(message) and self._on_end is not None:
-            self._set_timeout(WATCH_TIMEOUT_S)
         return 1 if message is None else max(1, len(message.endpoints))
 
     # Called by the parser
--- a/client_proxy/proxy/listener.py
+++ b/client_proxy/proxy/listener.py
@@ -12,6 +12,7 @@
 from client_proxy.proxy.connection_context import ConnectionState
 from client_proxy.proxy.connection_limits import ConnectionLimits
 from client_proxy.proxy.engine import Engine
+from client_proxy.proxy.memory_account import MemoryAccount
 from client_proxy.proxy.stall_detector import StallDetector
 from client_proxy.proxy.trace_ids import TraceIds
 
@@ -37,6 +38,7 @@
         ready: Callable[[], bool],
         max_connections: int,
         max_idle: int,
+        account: MemoryAccount,
     ) -> None:
         """Create a listener that does not listen yet.
 
@@ -46,12 +48,13 @@
             ready: Whether any endpoint is usable; the answer to `/ready`.
             max_connections: Above this number, connections are closed after their responses.
             max_idle: Limit on idle connections.
+            account: Counts the memory that peers make the process hold.
         """
         self.engine = engine
         self.settings = settings
         self.ready = ready
-        self.limits = ConnectionLimits(max_connections, max_idle)
-        self.trace_ids = TraceIds(settings.classes)
+        self.limits = ConnectionLimits(max_connections, max_idle, account)
+        self.trace_ids = TraceIds(settings.classes, account.max_trace_ids)
         self.stall_detector = StallDetector()
         self.rejects_new_requests = False
         self._server: asyncio.Server | None = None
--- a/client_proxy/proxy/pipeline.py
+++ b/client_proxy/proxy/pipeline.py
@@ -18,8 +18,15 @@
 
 READINESS_CHECK = ReadinessCheck()
 
-Pipelined = ClientRequest | ReadinessCheck | BadRequestError
-"""An entry of a connection's pipeline: a request, a readiness probe, or the error to answer with."""
+
+class RejectedRequest:
+    """A request that is answered 503 at its turn; it has not run, and nothing of it is kept."""
+
+
+REJECTED_REQUEST = RejectedRequest()
+
+Pipelined = ClientRequest | ReadinessCheck | RejectedRequest | BadRequestError
+"""An entry of a connection's pipeline: a request, a readiness probe, or an error to answer with."""
 
 
 class Pipeline:
@@ -53,6 +60,13 @@
             self.body_bytes -= len(entry.body)
         return entry
 
+    def reject_requests(self) -> None:
+        """Have all requests answered 503 at their turn, and free their memory."""
+        self._entries = deque(
+            REJECTED_REQUEST if isinstance(entry, ClientRequest) else entry for entry in self._entries
+        )
+        self.held_bytes = self.body_bytes = 0
+
     def clear(self) -> None:
         """Remove all entries."""
         self._entries.clear()
--- a/client_proxy/proxy/trace_ids.py
+++ b/client_proxy/proxy/trace_ids.py
@@ -12,6 +12,7 @@
 
 MAX_STORED_BYTES = 32  # longer ids are stored as a digest, as each is kept for seconds
 DIGEST_BYTES = MAX_STORED_BYTES + 1  # so no digest equals an id that is stored as it is
+CONNECTION_SHARE = 0.25  # of the ids that are kept, for those of one connection
 LIFETIME_DEADLINES = 2  # longest deadlines for which an id stays in use
 
 
@@ -27,38 +28,63 @@
     return blake2b(trace_id, digest_size=DIGEST_BYTES).digest()
 
 
+class TraceIdQuota:
+    """The number of ids that one client connection has in use."""
+
+    __slots__ = ("count",)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
 class TraceIds:
     """Trace ids of recent requests.
 
     Endpoints would drop a request under another's id as a duplicate.
     """
 
-    def __init__(self, classes: Sequence[RequestClass]) -> None:
+    def __init__(self, classes: Sequence[RequestClass], max_ids: int) -> None:
+        """Start without ids.
+
+        Args:
+            classes: The request classes.
+            max_ids: Most ids that are kept. One that is dropped early could run twice, so beyond this
+                number requests are rejected.
+        """
+        self._max_ids = max_ids
         self.lifetime_ms = lifetime_ms(classes)
-        self._expiry_ms: dict[
-            bytes, float
-        ] = {}  # expiry time in ms by stored form of the id, in the order of registration
+        # Expiry time in ms and connection, by stored form of the id, in the order of registration.
+        self._in_use: dict[bytes, tuple[float, TraceIdQuota]] = {}
 
     def __len__(self) -> int:
-        return len(self._expiry_ms)
+        return len(self._in_use)
 
     def adopt(self, classes: Sequence[RequestClass]) -> None:
         """Switch to other classes. The lifetime never shrinks, as earlier clients may still be waiting."""
         self.lifetime_ms = max(self.lifetime_ms, lifetime_ms(classes))
 
-    def register(self, trace_id: bytes) -> None:
-        """Register an id. Raises BadRequestError if it is already in use."""
+    def register(self, trace_id: bytes, quota: TraceIdQuota) -> None:
+        """Register an id of a connection.
+
+        Raises:
+            BadRequestError: The id is in use, or too many are: of all connections, or of this one.
+        """
         self.expire()
         stored = stored_form(trace_id)
-        if stored in self._expiry_ms:
+        if stored in self._in_use:
             raise BadRequestError(409, "X-Trace-Id is in use")
-        self._expiry_ms[stored] = now_ms() + self.lifetime_ms
+        if len(self._in_use) >= self._max_ids or quota.count >= CONNECTION_SHARE * self._max_ids:
+            raise BadRequestError(503, "too many requests with new ids")
+        self._in_use[stored] = now_ms() + self.lifetime_ms, quota
+        quota.count += 1
 
     def expire(self) -> None:
         """Remove the ids whose lifetime is over."""
         time_ms = now_ms()
-        while self._expiry_ms:
-            oldest = next(iter(self._expiry_ms))
-            if self._expiry_ms[oldest] > time_ms:
+        while self._in_use:
+            oldest = next(iter(self._in_use))
+            expiry_ms, quota = self._in_use[oldest]
+            if expiry_ms > time_ms:
                 return
-            del self._expiry_ms[oldest]
+            del self._in_use[oldest]
+            quota.count -= 1
--- a/client_proxy/proxy/upstream_connection.py
+++ b/client_proxy/proxy/upstream_connection.py
@@ -14,6 +14,7 @@
 from client_proxy.proxy.connection_slots import ConnectionSlots
 from client_proxy.proxy.errors import MessageTooLargeError
 from client_proxy.proxy.load_report import LoadReportReader
+from client_proxy.proxy.memory_account import HeldBytes, HeldKind, MemoryAccount
 from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES, MessageBuffer
 from client_proxy.proxy.messages import MAX_BODY_BYTES, UpstreamResponse
 from client_proxy.proxy.upstream_attempt import UpstreamAttempt
@@ -39,6 +40,7 @@
 
     slots: ConnectionSlots
     load_reports: LoadReportReader
+    memory_account: MemoryAccount
 
     def return_connection(self, connection: UpstreamConnection) -> None:
         """Keep a connection that has received its response for the next request."""
@@ -65,6 +67,7 @@
         self._has_served = False  # it has received a response
         self._holds_slot = True
         self._release_announced = False  # the release of its slot was announced
+        self._receiving_bytes = HeldBytes(pool.memory_account, HeldKind.RECEIVING)
         self._reset_response()
 
     def release(self) -> None:
@@ -81,6 +84,7 @@
         self._message = MessageBuffer(MAX_HEADER_BYTES)
         self._complete = False
         self._keep_alive = False
+        self._receiving_bytes.set(0)
 
     @property
     def held_bytes(self) -> int:
@@ -161,6 +165,8 @@
             self._response_complete(self.attempt)
         elif not well_formed:
             self._response_malformed()
+        else:
+            self._receiving_bytes.set(self.held_bytes)
 
     def _parse(self, data: bytes) -> bool:
         """Parse a part of a response. Returns whether it is well formed and within the limits."""
--- a/client_proxy/proxy/upstream_pool.py
+++ b/client_proxy/proxy/upstream_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable, Set
 
 from client_proxy.address import Address
@@ -13,6 +14,7 @@
 from client_proxy.proxy.connection_slots import ConnectionSlots
 from client_proxy.proxy.dialling import Dialler, OpenSocket, open_socket
 from client_proxy.proxy.load_report import LoadReportReader
+from client_proxy.proxy.memory_account import MemoryAccount
 from client_proxy.proxy.messages import ClientRequest
 from client_proxy.proxy.upstream_attempt import AttemptResult, UpstreamAttempt, always_allowed
 from client_proxy.proxy.upstream_connection import UpstreamConnection, UpstreamEndpoint
@@ -46,6 +48,7 @@
         connection_limit: int,
         make_socket: OpenSocket = open_socket,
         idle_timeout: IdleTimeout | None = None,
+        memory_account: MemoryAccount | None = None,
     ) -> None:
         """Create a pool without endpoints.
 
@@ -56,7 +59,9 @@
             connection_limit: Maximum number of connections, including dials in progress.
             make_socket: Makes the sockets; replaced on an in-memory network.
             idle_timeout: The operators' limits on idle and new connections; None: no limits.
+            memory_account: Counts the memory of incomplete responses; None: it is not limited.
         """
+        self.memory_account = memory_account or MemoryAccount(sys.maxsize)
         self.load_reports = LoadReportReader(report_fields)
         self._drain_grace_ms = drain_grace_ms
         self._connection_limit = connection_limit
--- a/tests/proxy/test_discovery.py
+++ b/tests/proxy/test_discovery.py
@@ -327,3 +327,17 @@
     directory = EndpointDirectory()
     directory.apply({"index": 1, "snapshot": True, "endpoints": [entry(A, "resting"), entry(B)]})
     assert [e.state for e in directory.entries.values()] == [EndpointState.DRAINING, EndpointState.READY]
+
+
+def test_a_list_of_too_many_endpoints_changes_nothing() -> None:
+    # Each listed endpoint takes memory for as long as it is listed, however it was added.
+    directory = EndpointDirectory(max_entries=2)
+    directory.apply({"index": 1, "snapshot": True, "endpoints": [entry(A), entry(B)]})
+    c = Host("c", port=3)
+    for full in (False, True):
+        listed = [entry(A), entry(B), entry(c)]
+        with pytest.raises(ValueError, match="3 endpoints, 2 at most"):
+            directory.apply({"index": 2, "snapshot": full, "endpoints": listed})
+        assert (set(directory.entries), directory.index) == ({"a", "b"}, 1)
+    directory.apply({"index": 3, "endpoints": [entry(A, "gone"), entry(c), entry(B, "draining")]})
+    assert set(directory.entries) == {"b", "c"}
--- a/tests/proxy/test_held_bytes.py
+++ b/tests/proxy/test_held_bytes.py
@@ -8,14 +8,15 @@
 import pytest
 
 from client_proxy.api.events import Outcome
-from client_proxy.proxy import connection_limits, listener
+from client_proxy.proxy import listener
 from client_proxy.proxy.connection_context import Phase
 from client_proxy.proxy.errors import BadRequestError
+from client_proxy.proxy.memory_account import WAITING_SHARE, HeldKind
 from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES
 from client_proxy.proxy.messages import MAX_BODY_BYTES
 from client_proxy.proxy.request_parser import MAX_HEADER_BYTES, ParsedRequest, RequestParser
 from client_proxy.proxy.stall_detector import StallDetector
-from client_proxy.proxy.trace_ids import TraceIds
+from client_proxy.proxy.trace_ids import TraceIdQuota, TraceIds
 from client_proxy.proxy.upstream_connection import UpstreamConnection
 from tests.proxy.sockets import UNSAFE_CLASS, Client, Host, ReceivedRequest, http_response, proxy, run, until
 from tests.proxy.test_before_the_write import settings_without_timeouts
@@ -116,23 +117,24 @@
 
 def test_unfinished_requests_of_all_clients_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     # Clients that stop in the middle of a request made the proxy hold all that they had sent, uncounted.
-    monkeypatch.setattr(connection_limits, "MAX_UNFINISHED_BYTES", 210_000)
     monkeypatch.setattr(listener, "REQUEST_TIMEOUT_MS", 600_000.0)
 
     async def test() -> None:
         host = Host("h")
         async with proxy(host) as p:
+            account = p.listener.limits.account
+            account.limit_bytes = int(210_000 / WAITING_SHARE)
             small = await Client.connect(p.port)
             request = small.encode_request(body=b"x" * 100)
             small.writer.write(request[:-50])
-            await until(lambda: p.listener.limits.unfinished_bytes > 0)
+            await until(lambda: account.held(HeldKind.UNFINISHED) > 0)
             stopped = [await Client.connect(p.port) for _ in range(8)]
             for client in stopped:
                 client.writer.write(unfinished_request(b"x" * 4096, 12))
             answers = [asyncio.create_task(client.answer()) for client in stopped]
             # Four of them fit into the limit.
             await until(lambda: sum(answer.done() for answer in answers) == 4)
-            assert p.listener.limits.unfinished_bytes <= 210_000
+            assert account.waiting_bytes <= 210_000
             for answer in [answer for answer in answers if answer.done()]:
                 assert (answer.result()[0], answer.result()[1]["connection"]) == (503, "close")
             small.writer.write(request[-50:])
@@ -143,14 +145,13 @@
             for client in [*stopped, small]:
                 client.close()
             await until(lambda: not p.listener.connections)
-            assert p.listener.limits.unfinished_bytes == 0
+            assert account.total_bytes == 0
 
     run(test())
 
 
-def test_pipelined_requests_count_with_their_headers(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_pipelined_requests_count_with_their_headers() -> None:
     # Only bodies were counted: requests ahead of their turn with large heads were held without a limit.
-    monkeypatch.setattr(connection_limits, "MAX_PIPELINED_BYTES", 100_000)
     release = asyncio.Event()
 
     async def answer_when_released(
@@ -161,6 +162,7 @@
 
     async def test() -> None:
         async with proxy(Host("h", answer_when_released), settings=settings_without_timeouts()) as p:
+            p.listener.limits.account.limit_bytes = int(100_000 / WAITING_SHARE)
             client = await Client.connect(p.port)
             for _ in range(24):
                 client.send(body=b"", expires_ms=600_000, X_Other="x" * 12_000)
@@ -197,17 +199,17 @@
 
 def test_memory_of_trace_ids_does_not_depend_on_their_length() -> None:
     # Each id is kept for two deadlines, and its length is the client's choice: these took 15 MB.
-    trace_ids = TraceIds(())
+    trace_ids, quota = TraceIds((), 10_000), TraceIdQuota()
     tracemalloc.start()
     try:
         for number in range(1000):
-            trace_ids.register(b"x" * 15_000 + b"%d" % number)
+            trace_ids.register(b"x" * 15_000 + b"%d" % number, quota)
         taken_bytes, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
     assert taken_bytes < 1000 * 512
     with pytest.raises(BadRequestError) as raised:
-        trace_ids.register(b"x" * 15_000 + b"7")
+        trace_ids.register(b"x" * 15_000 + b"7", quota)
     assert raised.value.status == 409
 
 
@@ -222,10 +224,11 @@
             (connection,) = p.listener.connections
             # Directly, as one read after the other within one iteration of the loop, before any timer.
             connection.data_received(client.encode_request(body=b"x" * 1000)[:-10])
-            assert p.listener.limits.pipelined_bytes > 1000
+            account = p.listener.limits.account
+            assert account.held(HeldKind.UNPARSED) > 1000
             connection.data_received(b"POST" * 16 * 1024)
             assert connection._phase is Phase.FINISHING
-            assert p.listener.limits.pipelined_bytes == 0
+            assert account.waiting_bytes == 0
             assert [(await client.answer())[0] for _ in range(2)] == [200, 400]
             client.close()
 
--- a/tests/proxy/test_lingering.py
+++ b/tests/proxy/test_lingering.py
@@ -12,6 +12,7 @@
 from client_proxy.proxy import connection_limits, listener
 from client_proxy.proxy.client_connection import ClientConnection
 from client_proxy.proxy.connection_context import Phase
+from client_proxy.proxy.memory_account import WAITING_SHARE
 from client_proxy.proxy.messages import Headers
 from client_proxy.proxy.pipeline import MAX_PIPELINED_REQUESTS
 from tests.proxy.sockets import (
@@ -312,9 +313,8 @@
     run(test())
 
 
-def test_pipelined_bytes_of_all_clients_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_pipelined_bytes_of_all_clients_are_bounded() -> None:
     # Each client may pipeline a full buffer; without a bound, some hundreds of clients exhaust the memory.
-    monkeypatch.setattr(connection_limits, "MAX_PIPELINED_BYTES", 200_000)
 
     async def answer_when_released(
         host: Host, received_request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -326,6 +326,8 @@
 
     async def test() -> None:
         async with proxy(Host("h", answer_when_released), settings=settings_without_timeouts()) as p:
+            account = p.listener.limits.account
+            account.limit_bytes = int(200_000 / WAITING_SHARE)
             clients = [await Client.connect(p.port) for _ in range(8)]
             for client in clients:
                 for _ in range(31):
@@ -334,13 +336,13 @@
             good = await Client.connect(p.port)
             good.send(body=b"good", expires_ms=600_000)
             await until(lambda: p.engine.pending_count == 9)
-            assert p.listener.limits.pipelined_bytes <= 200_000 + 8 * 260_000
+            assert account.waiting_bytes <= 200_000 + 260_000  # one read more
             assert any(connection._phase is Phase.FINISHING for connection in p.listener.connections)
             release.set()
             assert (await good.answer())[0] == 200  # a client without pipelining is not affected
             for client in [*clients, good]:
                 client.close()
             await until(lambda: not p.listener.connections)
-            assert p.listener.limits.pipelined_bytes == 0
+            assert account.total_bytes == 0
 
     run(test())
