Take an orderly end of the stream as the end of an answer with no length

Cause: UpstreamConnection had no eof_received; connection_lost ended each such attempt as a reset and dropped what had come. Change: eof_received completes a response whose complete head states no length, unless the system says that the connection was reset. Why it works: RFC 9112, 6.3: such a body ends with its connection, and only an orderly end is reported to eof_received.

--- a/client_proxy/proxy/message_buffer.py
+++ b/client_proxy/proxy/message_buffer.py
@@ -25,6 +25,7 @@
         "_header_bytes",
         "_header_limit",
         "_max_header_bytes",
+        "ends_with_stream",
         "headers",
         "in_head",
     )
@@ -38,6 +39,7 @@
         """
         self._max_header_bytes = max_header_bytes
         self.in_head = True
+        self.ends_with_stream = False  # the head is complete and states no length
         self.headers: Headers = []
         self._body = bytearray()  # one object for each chunk would take many times the size of small chunks
         self._header_bytes = 0  # bytes of all names and values
--- a/client_proxy/proxy/socket_state.py
+++ b/client_proxy/proxy/socket_state.py
@@ -9,9 +9,25 @@
 # `tcpi_last_data_recv` in Linux's `struct tcp_info` (linux/tcp.h): milliseconds, at offset 52.
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
 
+TCP_STATE = struct.Struct("=B")  # `tcpi_state`, the first byte of `struct tcp_info`
+TCP_STATE_CLOSED = 7  # `TCP_CLOSE` in linux/tcp_states.h; after an orderly end it is `TCP_CLOSE_WAIT`
+
 CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+def was_reset(sock: socket.socket) -> bool:
+    """Whether the peer has reset a connection whose stream has ended.
+
+    The system reports a reset once. Where a write has met it first, a read finds an end of the stream, as
+    after an orderly end. False if the system does not state it.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE.size)
+    except OSError:
+        return False
+    return len(info) >= TCP_STATE.size and TCP_STATE.unpack(info)[0] == TCP_STATE_CLOSED
+
+
 class SocketState:
     """Kernel state of a stream socket. It reads no data from the socket."""
 
--- a/client_proxy/proxy/upstream_connection.py
+++ b/client_proxy/proxy/upstream_connection.py
@@ -17,10 +17,13 @@
 from client_proxy.proxy.memory_account import HeldBytes, HeldKind, MemoryAccount
 from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES, MessageBuffer
 from client_proxy.proxy.messages import MAX_BODY_BYTES, UpstreamResponse
+from client_proxy.proxy.socket_state import was_reset
 from client_proxy.proxy.upstream_attempt import UpstreamAttempt
 
 # Most bytes of a response's head, interim responses included, and of its trailer.
 MAX_HEADER_BYTES = 32 * 1024
+FRAMING_NAMES = frozenset((b"content-length", b"transfer-encoding"))
+FRAMING_NAME_SIZES = frozenset(map(len, FRAMING_NAMES))
 
 
 @dataclass(slots=True, eq=False)
@@ -153,6 +156,16 @@
         self._parser = httptools.HttpResponseParser(self)
         self._reset_response()
 
+    def eof_received(self) -> None:
+        """Complete a response that ends with its connection, if the stream has ended in order.
+
+        A body of no stated length ends there (RFC 9112, 6.3). A reset is no end, and neither is an end of the
+        stream before a stated length; `connection_lost` reports both.
+        """
+        attempt = self.attempt
+        if attempt is not None and self._message.ends_with_stream and not was_reset(self._sock):
+            self._response_complete(attempt)
+
     def data_received(self, data: bytes) -> None:
         """Parse a part of a response; end the attempt once the response is complete or malformed."""
         if self.attempt is None:
@@ -227,13 +240,11 @@
         if self._parser.get_status_code() < 200:
             return  # an interim response; its head counts towards the limit of the final one
         self._message.end_head()
+        framing = {name.lower(): value for name, value in self._message.headers if is_framing(name)}
         # The parser has already checked that Content-Length is a number.
-        if any(
-            int(value) > MAX_BODY_BYTES
-            for name, value in self._message.headers
-            if name.lower() == b"content-length"
-        ):
+        if int(framing.get(b"content-length", 0)) > MAX_BODY_BYTES:
             raise MessageTooLargeError(413, "body too large")
+        self._message.ends_with_stream = not framing
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body, up to the size limit."""
@@ -249,6 +260,11 @@
             self._keep_alive = self._parser.should_keep_alive()
 
 
+def is_framing(name: bytes) -> bool:
+    """Whether a header states where the body ends."""
+    return len(name) in FRAMING_NAME_SIZES and name.lower() in FRAMING_NAMES
+
+
 def outcome_of(status: int, never_ran: bool) -> Outcome:
     """Return the outcome of an attempt from its response's status and never-ran mark."""
     if status == 200:
