Share each iteration of the loop among clients, and read on while requests wait

Two faults in one place, the reading of client connections; they could not be parted, as the second needs the first's bound. Cause: all that the loop had read was parsed in one iteration, and each answer scheduled one more parsing of all of it. Cause: reading was paused while requests waited, so the end of the stream behind the bytes never came through. The arrival of a client that left was searched among all queued events.

--- a/client_proxy/cli/serve.py
+++ b/client_proxy/cli/serve.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from client_proxy.address import read_address
+from client_proxy.allocator import return_large_buffers
 from client_proxy.cli.instance_factory import Instance, build_instance
 from client_proxy.cli.instance_file import InstanceFile
 from client_proxy.process_signals import ProcessSignals
@@ -28,6 +29,7 @@
     """
     if signals.termination_requested:
         return  # no client connection has been accepted yet
+    return_large_buffers()
     instance = build_instance(instance_file)
     port = await instance.start()
     stop = asyncio.Event()
--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -15,7 +15,6 @@
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.errors import BadRequestError
 from client_proxy.proxy.memory_account import HeldBytes, HeldKind
-from client_proxy.proxy.message_buffer import PARSE_CHUNK_BYTES
 from client_proxy.proxy.messages import Headers, UpstreamResponse, encode_response, end_to_end_headers
 from client_proxy.proxy.pipeline import READINESS_CHECK, Pipeline, ReadinessCheck, RejectedRequest
 from client_proxy.proxy.request_parser import ParsedRequest, RequestParser
@@ -24,7 +23,11 @@
 from client_proxy.proxy.stall_detector import STALL_RECHECK_S
 from client_proxy.proxy.trace_ids import TraceIdQuota
 
-PAUSE_READING_BYTES = 64 * 1024  # unread bytes, or bytes of pipelined bodies, above which reading is paused
+PARSE_SLICE_BYTES = 1024  # received bytes that are parsed before other connections may get their turn
+LONG_MESSAGE_BYTES = 4096  # bytes of a request from which on it is longer than usual ones
+# Received bytes that are not parsed yet. Reading goes on up to here, however many requests wait, since a
+# disconnect is read only behind the bytes before it.
+MAX_UNPARSED_BYTES = 1024 * 1024
 REQUEST_OVERHEAD_BYTES = 4096  # objects and timers of a request that is being served
 MAX_DISCARDED_BYTES = 64 * 1024  # bytes read and dropped after a connection's last request
 UNKNOWN_CLASS = "(no such class)"  # class name under which requests of an unknown class are counted
@@ -49,9 +52,11 @@
         self._engine: Engine | None = None
         self.writable = True
         self._phase = Phase.OPEN
-        self._unread = b""  # received, but not yet parsed
+        self._unread = bytearray()  # received, but not yet parsed
         self._received_ms = 0.0  # earliest time at which `_unread` may have arrived
         self._unread_since_ms: float | None = None  # start of the read pause; unread bytes may be as old
+        self._continuation_scheduled = False  # the next request starts in the next iteration of the loop
+        self._too_much_ahead = False  # what follows the unparsed bytes is discarded
         self._discarded = 0  # bytes received after the last request
         self._trace_id_quota = TraceIdQuota()
         # Its parts of the memory account.
@@ -102,6 +107,7 @@
         self._drop_unread()
         self._in_progress_bytes.set(0)
         self._unsent_bytes.set(0)
+        self._context.read_scheduler.forget(self)
         self._transport = self._socket_state = None
         self._limits.connection_closed(self)
         if self._current_id is not None and self._engine is not None:
@@ -110,23 +116,34 @@
 
     def data_received(self, data: bytes) -> None:
         """Accept the next bytes of the stream; process them now or, after a stall, a little later."""
-        if self._phase is not Phase.OPEN:
+        if self._phase is not Phase.OPEN or self._too_much_ahead:
             self._discard(data)
             return
         if not self._unread:
             self._received_ms = self._arrival_ms()
         self._unread += data
-        if self._context.stall_detector.recovering() and self._may_wait():
+        if len(self._unread) > MAX_UNPARSED_BYTES:
+            self._too_much_ahead = True
+            del self._unread[MAX_UNPARSED_BYTES:]
+        if self._context.stall_detector.recovering():
             # A client's disconnect is read only after its request. Processed at once, a thousand requests
             # whose clients left during the stall would be sent to endpoints, ahead of clients still waiting.
-            asyncio.get_running_loop().call_later(STALL_RECHECK_S, self._process)
+            self.parsing_deferred()
+            asyncio.get_running_loop().call_later(STALL_RECHECK_S, self._submit)
         else:
-            self._process()
+            self._submit()
+
+    def _submit(self) -> None:
+        """Parse what has been received, now or when it is this connection's turn."""
+        if self._transport is not None:
+            self._context.read_scheduler.submit(self)
 
-    def _may_wait(self) -> bool:
-        """Count the bytes that have been read; return whether they may be processed later."""
+    def parsing_deferred(self) -> None:
+        """Count the bytes that wait to be parsed; see `Reader`."""
         self._count_held()
-        return len(self._unread) <= PAUSE_READING_BYTES and not self._limits.account.too_much_waiting
+        if self._limits.account.too_much_waiting:
+            self._stop_waiting_ahead()
+        self._limits.state_changed(self)
 
     def pause_writing(self) -> None:
         """Stop answering a client that does not read its responses, so that they do not pile up in memory."""
@@ -137,7 +154,7 @@
         """Continue with the pipelined requests."""
         self.writable = True
         self._count_unsent()
-        self._process()
+        self._continue()
 
     # Reading
 
@@ -170,18 +187,53 @@
         self._discarded += len(data)
         if self._discarded <= MAX_DISCARDED_BYTES or self._transport is None:
             return
+        # While responses are pending reading goes on: else the client's disconnect would not be noticed.
         if self._phase is Phase.HALF_CLOSED:
             self.abort()
-        elif self._phase is Phase.FINISHING:
-            self._transport.pause_reading()  # `_half_close` resumes it once the pending responses are written
 
-    def _process(self) -> None:
-        """Parse the received bytes, and start the next request."""
+    def _continue(self) -> None:
+        """Start the next request, and parse what could not be parsed before."""
+        self._continuation_scheduled = False
         if self._transport is None:
             return
-        self._unparsed_bytes.set(0)
-        self._parse()
         self._start_next_request()
+        if self._unread:
+            self._submit()
+        self._processed()
+
+    def parse_slice(self) -> bool:
+        """Parse a part of the received bytes, as far as the memory lasts; see `Reader`."""
+        if not self._may_parse():
+            return False
+        chunk = bytes(self._unread[:PARSE_SLICE_BYTES])
+        del self._unread[:PARSE_SLICE_BYTES]
+        self._unparsed_bytes.set(0)  # what is parsed now may be no more than a request
+        try:
+            self._parser.feed(chunk)
+        except BadRequestError as error:
+            self._reject(error)
+        self._start_next_request()
+        self._count_parsed()
+        if self._limits.account.too_much_waiting:
+            self._stop_waiting_ahead()
+        if self._may_parse():
+            return True
+        self._processed()
+        return False
+
+    def in_long_message(self) -> bool:
+        """Whether the unfinished request is longer than usual ones; see `Reader`."""
+        return self._parser.message_bytes > LONG_MESSAGE_BYTES
+
+    def _may_parse(self) -> bool:
+        may_read = self._transport is not None and self._phase is Phase.OPEN and not self._pipeline.full
+        return may_read and bool(self._unread)
+
+    def _processed(self) -> None:
+        """Count what is left, and update what depends on it."""
+        if self._too_much_ahead and not self._unread and self._phase is Phase.OPEN:
+            self._reject(BadRequestError(413, "too much ahead of its turn"))
+            self._start_next_request()
         self._count_held()
         if self._limits.account.too_much_waiting:
             self._stop_waiting_ahead()
@@ -190,19 +242,6 @@
         self._throttle_reading()
         self._limits.state_changed(self)
 
-    def _parse(self) -> None:
-        """Parse what has been received, as far as the memory for it lasts."""
-        while self._unread and self._phase is Phase.OPEN and not self._pipeline.full:
-            chunk, self._unread = self._unread[:PARSE_CHUNK_BYTES], self._unread[PARSE_CHUNK_BYTES:]
-            try:
-                self._parser.feed(chunk)
-            except BadRequestError as error:
-                self._reject(error)
-            self._start_next_request()
-            self._count_parsed()  # without the bytes of this read, which may be no more than a request
-            if self._limits.account.too_much_waiting:
-                self._stop_waiting_ahead()
-
     def _stop_waiting_ahead(self) -> None:
         """Bring what waits of all clients back below its limit.
 
@@ -231,16 +270,13 @@
         self._stop_reading_requests()
 
     def _throttle_reading(self) -> None:
-        """Pause reading while too much is pipelined, and note when the pause began.
+        """Pause reading while the client does not read, and note when the pause began.
 
         Time that requests spend in the kernel's buffers during the pause counts against their deadlines.
         """
         if self._transport is None or self._transport.is_closing():
             return
-        must_pause = (
-            self._pipeline.full or self._pipeline.body_bytes > PAUSE_READING_BYTES or bool(self._unread)
-        )
-        if must_pause or not self.writable:
+        if not self.writable:
             if self._unread_since_ms is None:
                 self._unread_since_ms = now_ms()
             self._transport.pause_reading()
@@ -274,7 +310,7 @@
 
     def _drop_unread(self) -> None:
         """Free the unfinished request and the bytes behind it, once no further request is read."""
-        self._unread = b""
+        self._unread.clear()
         self._parser.discard()
         self._count_held()
 
@@ -351,8 +387,9 @@
         self._count_unsent()
         if is_last:
             self._half_close()
-        elif self._pipeline or self._unread:
-            asyncio.get_running_loop().call_soon(self._process)
+        elif (self._pipeline or self._unread) and not self._continuation_scheduled:
+            self._continuation_scheduled = True
+            asyncio.get_running_loop().call_soon(self._continue)
         self._limits.state_changed(self)
 
     def _closes_after_answer(self) -> bool:
--- a/client_proxy/proxy/connection_context.py
+++ b/client_proxy/proxy/connection_context.py
@@ -9,6 +9,7 @@
 from client_proxy.api.settings import Settings
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.memory_account import MemoryAccount
+from client_proxy.proxy.read_scheduler import ReadScheduler
 from client_proxy.proxy.stall_detector import StallDetector
 from client_proxy.proxy.trace_ids import TraceIds
 
@@ -70,6 +71,7 @@
     ready: Callable[[], bool]
     trace_ids: TraceIds
     stall_detector: StallDetector
+    read_scheduler: ReadScheduler
     rejects_new_requests: bool  # the process is about to exit: requests not yet started are rejected
 
     def connection_opened(self, connection: ConnectionT) -> None:
--- a/client_proxy/proxy/engine.py
+++ b/client_proxy/proxy/engine.py
@@ -128,6 +128,9 @@
         self._pending: dict[int, PendingRequest] = {}
         self._last_id = 0
         self._events: list[Event] = []
+        self._disconnects: deque[Event] = deque()  # handled ahead of `_events`, the latest first
+        self._queued_arrivals: set[int] = set()  # ids of requests whose arrival is in `_events`
+        self._withdrawn_arrivals: set[int] = set()  # those of them that the balancer never learns of
         self._list_events: deque[EndpointsListed] = deque()  # lists that are not passed on yet
         self._passing_on_lists = False
         self._scheduled = False
@@ -224,7 +227,7 @@
     def flush(self) -> None:
         """Let the balancer handle the queued events."""
         self._scheduled = False
-        events, self._events = self._events, []
+        events = self._take_events()
         try:
             for action in self.balancer.handle(now_ms(), events):
                 self._execute(action)
@@ -234,6 +237,25 @@
             log.exception("the balancer failed; its pending requests are answered, and it is restarted")
             self._restart_balancer()
 
+    def _take_events(self) -> list[Event]:
+        """Return the queued events in the order in which they are handled, and empty the queue."""
+        events = [*self._disconnects, *self._events]
+        if self._withdrawn_arrivals:
+            withdrawn = self._withdrawn_arrivals
+            events = [
+                event
+                for event in events
+                if not isinstance(event, RequestArrived) or event.request_id not in withdrawn
+            ]
+        self._drop_events()
+        return events
+
+    def _drop_events(self) -> None:
+        self._events = []
+        self._disconnects.clear()
+        self._queued_arrivals.clear()
+        self._withdrawn_arrivals.clear()
+
     def handle_at_once(self, event: Event) -> None:
         """Let the balancer handle one event now, ahead of the queued ones."""
         for action in self.balancer.handle(now_ms(), [event]):
@@ -244,7 +266,7 @@
             self._answer_without_balancer(pending, 500)
         self._incarnation += 1
         self.balancer = self._new_balancer()
-        self._events.clear()  # the queued events concern requests of the old balancer
+        self._drop_events()  # the queued events concern requests of the old balancer
         # The new balancer starts after a delay: one that fails on each restart would keep the process busy.
         asyncio.get_running_loop().call_later(
             BALANCER_RESTART_DELAY_S, self._replay_endpoints, self._incarnation
@@ -321,6 +343,7 @@
             guard,
             request.received_ms if first_request_ms is None else first_request_ms,
         )
+        self._queued_arrivals.add(self._last_id)
         self.post(
             RequestArrived(
                 request_id=self._last_id,
@@ -348,12 +371,12 @@
         Otherwise a retry due in the same iteration would be decided first. Its attempt would belong to no
         pending request, and would count as in flight at its endpoint forever.
         """
-        for event in self._events:
-            if isinstance(event, RequestArrived) and event.request_id == request_id:
-                self._events.remove(event)  # the balancer never learns of the request
-                return
-        self.post(ClientDisconnected(request_id))
-        self._events.insert(0, self._events.pop())
+        if request_id in self._queued_arrivals:
+            self._queued_arrivals.remove(request_id)
+            self._withdrawn_arrivals.add(request_id)
+            return
+        self._disconnects.appendleft(ClientDisconnected(request_id))
+        self._schedule_flush()
 
     def _deadline_passed(self, request_id: int) -> None:
         """Answer a request that the balancer has not ended shortly before the client's deadline."""
--- a/client_proxy/proxy/listener.py
+++ b/client_proxy/proxy/listener.py
@@ -13,6 +13,7 @@
 from client_proxy.proxy.connection_limits import ConnectionLimits
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.memory_account import MemoryAccount
+from client_proxy.proxy.read_scheduler import ReadScheduler
 from client_proxy.proxy.stall_detector import StallDetector
 from client_proxy.proxy.trace_ids import TraceIds
 
@@ -56,6 +57,7 @@
         self.limits = ConnectionLimits(max_connections, max_idle, account)
         self.trace_ids = TraceIds(settings.classes, account.max_trace_ids)
         self.stall_detector = StallDetector()
+        self.read_scheduler = ReadScheduler()
         self.rejects_new_requests = False
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
--- a/client_proxy/proxy/program.py
+++ b/client_proxy/proxy/program.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from client_proxy.allocator import return_large_buffers
 from client_proxy.operators import NO_FEATURES, OperatorSettings, load_operators
 from client_proxy.process_signals import ProcessSignals
 from client_proxy.proxy.config import Config, load_config
@@ -93,6 +94,7 @@
         signals: The installed signal handlers, which also record signals that arrive during the start.
     """
     args = argument_parser().parse_args()
+    return_large_buffers()
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load_config(os.environ)
--- a/client_proxy/proxy/request_parser.py
+++ b/client_proxy/proxy/request_parser.py
@@ -55,7 +55,7 @@
         return len(self._target) + self._message.held_bytes if self.in_message else 0
 
     def _reset_message(self) -> None:
-        self._message_bytes = 0
+        self.message_bytes = 0
         self._target = b""
         self._message = MessageBuffer(MAX_HEADER_BYTES)
 
@@ -64,7 +64,7 @@
 
         Raises BadRequestError; the stream is unusable then.
         """
-        self._message_bytes += len(data)
+        self.message_bytes += len(data)
         self._message.count_received(len(data))
         try:
             self._parser.feed_data(data)
@@ -78,7 +78,7 @@
             if isinstance(cause, MessageTooLargeError):
                 raise BadRequestError(cause.status, str(cause)) from None
             raise BadRequestError(400, "malformed request") from error
-        if self._message_bytes > MAX_MESSAGE_BYTES:
+        if self.message_bytes > MAX_MESSAGE_BYTES:
             raise BadRequestError(413, "message too large")
 
     # Called by the HTTP library
