Write no request for an endpoint that is gone, whoever has its address by now

Cause: an attempt that waits for its connection asks right before its first byte whether it may be written; an endpoint that had left the list got the grace of one that drains. Change: an endpoint that is removed is marked as gone, and nothing is written for it; the attempt ends as not sent. Endpoints that an earlier policy still uses keep their grace. Evidence and tests: test_an_attempt_is_not_sent_to_a_new_process_at_the_address_of_one_that_is_gone answered 200 before, told as gone and left out of a whole list; a restart under the same name passed before.

--- a/client_proxy/proxy/upstream_connection.py
+++ b/client_proxy/proxy/upstream_connection.py
@@ -35,7 +35,7 @@
     started_ms: float | None
     idle: list[UpstreamConnection] = field(default_factory=list)  # ordered by last use, oldest first
     unavailable_since_ms: float | None = None  # when it was first listed as draining or missing
-    replaced: bool = False  # restarted or moved, so its connections are dead
+    gone: bool = False  # its process has ended: it is not listed any more, was restarted or has moved
 
 
 class ConnectionOwner(Protocol):
--- a/client_proxy/proxy/upstream_pool.py
+++ b/client_proxy/proxy/upstream_pool.py
@@ -97,7 +97,7 @@
         endpoint = self.endpoints.get(name)
         if endpoint is None or endpoint.address != address or endpoint.started_ms != started_ms:
             if endpoint is not None:
-                endpoint.replaced = True
+                endpoint.gone = True
                 self._mark_unavailable(endpoint)
             endpoint = self.endpoints[name] = UpstreamEndpoint(name, address, started_ms)
         if ready:
@@ -114,12 +114,16 @@
             self.remove_endpoint(name, name in leaving)
 
     def remove_endpoint(self, name: str, leaving: bool) -> None:
-        """Mark an endpoint as unavailable, and remove it unless it is leaving (see `retain_endpoints`)."""
+        """Mark an endpoint as unavailable, and remove it unless it is leaving (see `retain_endpoints`).
+
+        Attempts that still wait for a connection to it are not sent.
+        """
         endpoint = self.endpoints.get(name)
         if endpoint is None:
             return
         self._mark_unavailable(endpoint)
         if not leaving:
+            endpoint.gone = True
             del self.endpoints[name]
 
     def still_accepts(self, name: str, address: Address) -> bool:
@@ -184,8 +188,11 @@
         return not self._past_drain_grace(endpoint) and attempt.still_allowed()
 
     def _past_drain_grace(self, endpoint: UpstreamEndpoint) -> bool:
-        """Whether a request that starts now may reach the endpoint after its drain grace."""
-        if endpoint.replaced:
+        """Whether a request that starts now may reach the endpoint after its drain grace.
+
+        The process of an endpoint that is gone has no grace: another one may have its address by now.
+        """
+        if endpoint.gone:
             return True
         since_ms = endpoint.unavailable_since_ms
         return since_ms is not None and now_ms() > since_ms + self._drain_grace_ms - NOTIFICATION_MARGIN_MS
@@ -248,7 +255,7 @@
     def return_connection(self, connection: UpstreamConnection) -> None:
         """Keep a connection that has received its response for the next request, if it may stay idle."""
         endpoint = connection.endpoint
-        if endpoint.unavailable_since_ms is not None or endpoint.replaced:
+        if endpoint.unavailable_since_ms is not None or endpoint.gone:
             connection.abort()
             return
         timeout_ms = self._current_idle_timeout_ms()
--- a/tests/proxy/test_upstream.py
+++ b/tests/proxy/test_upstream.py
@@ -6,12 +6,14 @@
 import os
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 import uvloop
 
 from client_proxy.api.events import Outcome
 from client_proxy.clock import now_ms
+from client_proxy.proxy.dialling import Dialler
 from client_proxy.proxy.messages import ClientRequest
 from client_proxy.proxy.upstream_attempt import AttemptResult
 from client_proxy.proxy.upstream_connection import UpstreamConnection, UpstreamEndpoint
@@ -348,6 +350,48 @@
     run(test())
 
 
+@pytest.mark.parametrize("how", ["gone", "not in the list", "restarted"])
+def test_an_attempt_is_not_sent_to_a_new_process_at_the_address_of_one_that_is_gone(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against picture (d) of the users' runs: a request whose connection was still being opened went to
+    # the process that had come up at the address, as if it was the one that the balancer had chosen.
+    async def test() -> None:
+        dialled, listed = asyncio.Event(), asyncio.Event()
+        connect = Dialler.connect
+
+        async def connect_late(self: Dialler, *arguments: Any) -> UpstreamConnection | None:
+            dialled.set()
+            await listed.wait()
+            return await connect(self, *arguments)
+
+        monkeypatch.setattr(Dialler, "connect", connect_late)
+        new = Host("new")
+        async with proxy(new, settings=settings_json(max_attempts=1)) as p:
+            old = {**entry(new), "name": "old"}
+            p.registry.send_chunk(p.registry.change(old, full=True))
+            await until(lambda: "new" not in p.engine.balancer.endpoint_set.endpoints)
+            client = await Client.connect(p.port)
+            client.send()
+            await dialled.wait()
+            if how == "gone":
+                change = p.registry.change({**old, "status": "gone"}, entry(new))
+            elif how == "not in the list":
+                change = p.registry.change(entry(new), full=True)
+            else:
+                change = p.registry.change({**old, "since_ms": 1_700_000_000_000})
+            balancer = p.engine.balancer
+            before = balancer.endpoint_set.endpoints["old"]
+            p.registry.send_chunk(change)
+            await until(lambda: balancer.endpoint_set.endpoints.get("old") is not before)
+            listed.set()
+            assert (await client.answer())[0] == 503
+            assert not new.received
+            client.close()
+
+    run(test())
+
+
 def test_moved_endpoint_is_reached_at_its_new_address() -> None:
     async def test() -> None:
         old, new = Host("h"), await Host("h").start()
