Keep the drain grace of endpoints that a whole list leaves out, but not at a new holder's address

What a whole list leaves out may still drain. Change: no grace where an endpoint is told as gone, or where another one is listed at its address.

--- a/client_proxy/proxy/engine.py
+++ b/client_proxy/proxy/engine.py
@@ -309,11 +309,9 @@
         if event.kind is not ListKind.DELTA:
             self._upstream.retain_endpoints(self._directory.entries.keys(), self._retired_names())
             return
-        gone = [entry.name for entry in event.endpoints if entry.name not in self._directory.entries]
-        if gone:
-            leaving = self._retired_names()
-            for name in gone:
-                self._upstream.remove_endpoint(name, name in leaving)
+        for entry in event.endpoints:
+            if entry.name not in self._directory.entries:
+                self._upstream.remove_gone(entry.name)
 
     def _retired_names(self) -> Set[str]:
         return self.retired_endpoint_names() if self.retired_endpoint_names is not None else frozenset()
--- a/client_proxy/proxy/upstream_pool.py
+++ b/client_proxy/proxy/upstream_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import sys
+from collections import Counter
 from collections.abc import Callable, Set
 
 from client_proxy.address import Address
@@ -69,6 +70,7 @@
         self._dialler = Dialler(self.slots, make_socket)
         self.apply_limits(limits, idle_timeout)
         self.endpoints: dict[str, UpstreamEndpoint] = {}
+        self._listed_at: Counter[Address] = Counter()  # number of these endpoints by address
         self._idle: dict[UpstreamConnection, None] = {}  # of all endpoints, the longest idle first
         self._sweep: asyncio.TimerHandle | None = None
 
@@ -99,7 +101,9 @@
             if endpoint is not None:
                 endpoint.gone = True
                 self._mark_unavailable(endpoint)
+                self._remove(endpoint)
             endpoint = self.endpoints[name] = UpstreamEndpoint(name, address, started_ms)
+            self._listed_at[address] += 1
         if ready:
             endpoint.unavailable_since_ms = None
         else:
@@ -111,20 +115,24 @@
         Those in `leaving` stay for the drain grace, for requests that were accepted under an earlier list.
         """
         for name in [name for name in self.endpoints if name not in keep]:
-            self.remove_endpoint(name, name in leaving)
-
-    def remove_endpoint(self, name: str, leaving: bool) -> None:
-        """Mark an endpoint as unavailable, and remove it unless it is leaving (see `retain_endpoints`).
+            endpoint = self.endpoints[name]
+            self._mark_unavailable(endpoint)
+            if name not in leaving:
+                self._remove(endpoint)
 
-        Attempts that still wait for a connection to it are not sent.
-        """
+    def remove_gone(self, name: str) -> None:
+        """Remove an endpoint whose process has ended. Attempts that wait for a connection are not sent."""
         endpoint = self.endpoints.get(name)
-        if endpoint is None:
-            return
-        self._mark_unavailable(endpoint)
-        if not leaving:
+        if endpoint is not None:
             endpoint.gone = True
-            del self.endpoints[name]
+            self._mark_unavailable(endpoint)
+            self._remove(endpoint)
+
+    def _remove(self, endpoint: UpstreamEndpoint) -> None:
+        del self.endpoints[endpoint.name]
+        self._listed_at[endpoint.address] -= 1
+        if not self._listed_at[endpoint.address]:
+            del self._listed_at[endpoint.address]
 
     def still_accepts(self, name: str, address: Address) -> bool:
         """Whether a request accepted under an earlier list may still be sent to this endpoint.
@@ -190,10 +198,13 @@
     def _past_drain_grace(self, endpoint: UpstreamEndpoint) -> bool:
         """Whether a request that starts now may reach the endpoint after its drain grace.
 
-        The process of an endpoint that is gone has no grace: another one may have its address by now.
+        The process of an endpoint that is gone has no grace: another one may have its address by now. One
+        that a list leaves out may still drain, unless another endpoint is listed at its address.
         """
         if endpoint.gone:
             return True
+        if self.endpoints.get(endpoint.name) is not endpoint and endpoint.address in self._listed_at:
+            return True
         since_ms = endpoint.unavailable_since_ms
         return since_ms is not None and now_ms() > since_ms + self._drain_grace_ms - NOTIFICATION_MARGIN_MS
 
