Give the watch, list steps, queued events and a client's memory modules of their own

Cause: engine.py and discovery.py held more than one job, client_connection.py the counting beside reading and answering. Change: endpoint_watch.py (one call to discovery), list_steps.py (long lists in steps, and the pool's part of a list), event_queue.py (what waits for the balancer), client_memory.py (one client's parts of the account). Moved, not changed.

--- a/benchmarks/list_changes.py
+++ b/benchmarks/list_changes.py
@@ -24,7 +24,7 @@
 from client_proxy.operators import load_operators
 from client_proxy.proxy.config import Config
 from client_proxy.proxy.daemon import Daemon
-from client_proxy.proxy.discovery import EndpointWatch
+from client_proxy.proxy.endpoint_watch import EndpointWatch
 from client_proxy.settings import read_settings
 
 Json = dict[str, Any]
--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -6,6 +6,7 @@
 from typing import cast
 
 from client_proxy.clock import now_ms
+from client_proxy.proxy.client_memory import ClientMemory
 from client_proxy.proxy.connection_context import (
     ConnectionContext,
     ConnectionState,
@@ -14,7 +15,6 @@
 )
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.errors import BadRequestError
-from client_proxy.proxy.memory_account import HeldBytes, HeldKind
 from client_proxy.proxy.messages import Headers, UpstreamResponse, encode_response, end_to_end_headers
 from client_proxy.proxy.pipeline import READINESS_CHECK, Pipeline, ReadinessCheck, RejectedRequest
 from client_proxy.proxy.request_parser import ParsedRequest, RequestParser
@@ -28,7 +28,6 @@
 # Received bytes that are not parsed yet. Reading goes on up to here, however many requests wait, since a
 # disconnect is read only behind the bytes before it.
 MAX_UNPARSED_BYTES = 1024 * 1024
-REQUEST_OVERHEAD_BYTES = 4096  # objects and timers of a request that is being served
 MAX_DISCARDED_BYTES = 64 * 1024  # bytes read and dropped after a connection's last request
 UNKNOWN_CLASS = "(no such class)"  # class name under which requests of an unknown class are counted
 NOT_FORWARDED = (b"endpoint-load-metrics",)  # the endpoint's load report is not for the client
@@ -59,13 +58,8 @@
         self._too_much_ahead = False  # what follows the unparsed bytes is discarded
         self._discarded = 0  # bytes received after the last request
         self._trace_id_quota = TraceIdQuota()
-        # Its parts of the memory account.
-        self._unparsed_bytes = HeldBytes(limits.account, HeldKind.UNPARSED)
-        self._pipelined_bytes = HeldBytes(limits.account, HeldKind.PIPELINED)
-        self._unfinished_bytes = HeldBytes(limits.account, HeldKind.UNFINISHED)
-        self._in_progress_bytes = HeldBytes(limits.account, HeldKind.IN_PROGRESS)
-        self._unsent_bytes = HeldBytes(limits.account, HeldKind.UNSENT)
-        self.waiting_bytes = 0  # those of the first three kinds, as `ConnectionLimits` knows them
+        self._memory = ClientMemory(limits.account)
+        self.waiting_bytes = 0  # bytes of requests that have not started, as the limits know them
         self._has_sent_request = False  # the client has sent a complete request
 
     @property
@@ -105,8 +99,7 @@
         self._phase = Phase.CLOSED
         self._pipeline.clear()
         self._drop_unread()
-        self._in_progress_bytes.set(0)
-        self._unsent_bytes.set(0)
+        self._memory.closed()
         self._context.read_scheduler.forget(self)
         self._transport = self._socket_state = None
         self._limits.connection_closed(self)
@@ -207,7 +200,7 @@
             return False
         chunk = bytes(self._unread[:PARSE_SLICE_BYTES])
         del self._unread[:PARSE_SLICE_BYTES]
-        self._unparsed_bytes.set(0)  # what is parsed now may be no more than a request
+        self._memory.unparsed.set(0)  # what is parsed now may be no more than a request
         try:
             self._parser.feed(chunk)
         except BadRequestError as error:
@@ -288,17 +281,13 @@
 
     def _count_held(self) -> None:
         """Count the memory of all that waits: unparsed bytes, the unfinished request, and pipelined ones."""
-        self._unparsed_bytes.set(len(self._unread))
+        self._memory.unparsed.set(len(self._unread))
         self._count_parsed()
 
     def _count_parsed(self) -> None:
-        self._pipelined_bytes.set(self._pipeline.held_bytes)
-        self._unfinished_bytes.set(self._parser.held_bytes)
-        waiting_bytes = (
-            self._unparsed_bytes.byte_count
-            + self._pipelined_bytes.byte_count
-            + self._unfinished_bytes.byte_count
-        )
+        self._memory.pipelined.set(self._pipeline.held_bytes)
+        self._memory.unfinished.set(self._parser.held_bytes)
+        waiting_bytes = self._memory.waiting_bytes
         if waiting_bytes != self.waiting_bytes:
             self._limits.waiting_resized(self, self.waiting_bytes, waiting_bytes)
             self.waiting_bytes = waiting_bytes
@@ -306,7 +295,7 @@
     def _count_unsent(self) -> None:
         """Count what the client has not read yet of its responses."""
         if self._transport is not None:
-            self._unsent_bytes.set(self._transport.get_write_buffer_size())
+            self._memory.unsent.set(self._transport.get_write_buffer_size())
 
     def _drop_unread(self) -> None:
         """Free the unfinished request and the bytes behind it, once no further request is read."""
@@ -362,9 +351,7 @@
             elif isinstance(queued, RejectedRequest) or self._must_reject():
                 self.reject(0.0)
             else:
-                self._in_progress_bytes.set(
-                    queued.held_bytes + len(queued.body) + REQUEST_OVERHEAD_BYTES  # encoded once more
-                )
+                self._memory.request_started(queued)
                 self._engine = self._context.engine
                 self._current_id = self._engine.accept(queued, self)
 
@@ -377,7 +364,7 @@
         if not self._in_progress:
             return
         self._in_progress = False
-        self._in_progress_bytes.set(0)
+        self._memory.in_progress.set(0)
         self._current_id = self._engine = None
         transport = self._transport
         if transport is None or transport.is_closing():
--- a/client_proxy/proxy/engine.py
+++ b/client_proxy/proxy/engine.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import logging
-from collections import deque
-from collections.abc import Callable, Iterator, Sequence, Set
+from collections.abc import Callable, Sequence, Set
 from typing import TYPE_CHECKING, Protocol
 
 from client_proxy.api.actions import (
@@ -22,9 +21,7 @@
 )
 from client_proxy.api.events import (
     AttemptEnded,
-    ClientDisconnected,
     EndpointsListed,
-    EndpointState,
     Event,
     ListKind,
     Outcome,
@@ -38,9 +35,10 @@
 from client_proxy.balancer.request import DEFAULT_DEADLINE_MS
 from client_proxy.clock import now_ms
 from client_proxy.endpoint_directory import EndpointDirectory
-from client_proxy.endpoint_list import ENTRIES_PER_STEP
 from client_proxy.limits.client_retries import ClientRetries
 from client_proxy.operators import NO_FEATURES, OperatorSettings
+from client_proxy.proxy.event_queue import EventQueue
+from client_proxy.proxy.list_steps import ListSteps, update_pool
 from client_proxy.proxy.messages import ClientRequest
 from client_proxy.proxy.pending_request import PendingRequest, ResponseWriter
 from client_proxy.proxy.upstream_attempt import AttemptResult, UpstreamAttempt
@@ -61,22 +59,6 @@
 NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
-def split_list(event: EndpointsListed) -> Iterator[EndpointsListed]:
-    """Yield events that together have the effect of a list, each with a bounded number of changes.
-
-    The entries of a long list come as changes. A complete one follows at the end, since it also says which
-    endpoints are gone; by then none of its entries is a change. A list of before a restart is not split:
-    nothing is served yet.
-    """
-    if len(event.endpoints) <= ENTRIES_PER_STEP or event.kind is ListKind.RESTORED:
-        yield event
-        return
-    for start in range(0, len(event.endpoints), ENTRIES_PER_STEP):
-        yield EndpointsListed(ListKind.DELTA, event.endpoints[start : start + ENTRIES_PER_STEP])
-    if event.kind is not ListKind.DELTA:
-        yield event
-
-
 class EndpointSubscriber(Protocol):
     """The part of an endpoint source that the engine uses."""
 
@@ -127,12 +109,8 @@
         self._latency_objectives_ms = {cls.name: cls.latency_objective_ms for cls in settings.classes}
         self._pending: dict[int, PendingRequest] = {}
         self._last_id = 0
-        self._events: list[Event] = []
-        self._disconnects: deque[Event] = deque()  # handled ahead of `_events`, the latest first
-        self._queued_arrivals: set[int] = set()  # ids of requests whose arrival is in `_events`
-        self._withdrawn_arrivals: set[int] = set()  # those of them that the balancer never learns of
-        self._list_events: deque[EndpointsListed] = deque()  # lists that are not passed on yet
-        self._passing_on_lists = False
+        self._events = EventQueue()
+        self._lists = ListSteps(self._list_step)
         self._scheduled = False
         self._incarnation = 0  # number of the balancer here; timers of earlier balancers are ignored
         self._operators = operators
@@ -216,7 +194,7 @@
 
     def post(self, event: Event) -> None:
         """Queue an event for the balancer, which handles all events of a loop iteration in one call."""
-        self._events.append(event)
+        self._events.post(event)
         self._schedule_flush()
 
     def _schedule_flush(self) -> None:
@@ -227,35 +205,16 @@
     def flush(self) -> None:
         """Let the balancer handle the queued events."""
         self._scheduled = False
-        events = self._take_events()
+        events = self._events.take()
         try:
             for action in self.balancer.handle(now_ms(), events):
                 self._execute(action)
-            if self.restore_snapshot is not None and not self._passing_on_lists:
+            if self.restore_snapshot is not None and not self._lists.pending:
                 self.restore_if_listed()
         except Exception:  # a failure in the balancer must not end the process with all requests
             log.exception("the balancer failed; its pending requests are answered, and it is restarted")
             self._restart_balancer()
 
-    def _take_events(self) -> list[Event]:
-        """Return the queued events in the order in which they are handled, and empty the queue."""
-        events = [*self._disconnects, *self._events]
-        if self._withdrawn_arrivals:
-            withdrawn = self._withdrawn_arrivals
-            events = [
-                event
-                for event in events
-                if not isinstance(event, RequestArrived) or event.request_id not in withdrawn
-            ]
-        self._drop_events()
-        return events
-
-    def _drop_events(self) -> None:
-        self._events = []
-        self._disconnects.clear()
-        self._queued_arrivals.clear()
-        self._withdrawn_arrivals.clear()
-
     def handle_at_once(self, event: Event) -> None:
         """Let the balancer handle one event now, ahead of the queued ones."""
         for action in self.balancer.handle(now_ms(), [event]):
@@ -266,7 +225,7 @@
             self._answer_without_balancer(pending, 500)
         self._incarnation += 1
         self.balancer = self._new_balancer()
-        self._drop_events()  # the queued events concern requests of the old balancer
+        self._events.clear()  # the queued events concern requests of the old balancer
         # The new balancer starts after a delay: one that fails on each restart would keep the process busy.
         asyncio.get_running_loop().call_later(
             BALANCER_RESTART_DELAY_S, self._replay_endpoints, self._incarnation
@@ -277,44 +236,17 @@
             self.post(EndpointsListed(ListKind.RESTORED, tuple(self._directory.entries.values())))
 
     def notify_endpoints(self, event: EndpointsListed) -> None:
-        """Pass a list or a watch event to the pool, and then to the balancer.
+        """Pass a list or a watch event to the pool, and then to the balancer; a long list in steps."""
+        self._lists.add(event)
 
-        A long list is passed on in steps, one in each iteration of the loop; later events wait behind it.
-        """
-        self._list_events.extend(split_list(event))
-        if not self._passing_on_lists:
-            self._pass_on_list()
-
-    def _pass_on_list(self) -> None:
-        """Pass on events of `ENTRIES_PER_STEP` entries together; the next ones in the next iteration."""
-        entries = 0
-        while self._list_events and entries < ENTRIES_PER_STEP:
-            event = self._list_events.popleft()
-            entries += max(1, len(event.endpoints))
-            self.update_upstream(event)
-            self.post(event)
-        self._passing_on_lists = bool(self._list_events)
-        if self._passing_on_lists:
-            asyncio.get_running_loop().call_soon(self._pass_on_list)
+    def _list_step(self, event: EndpointsListed) -> None:
+        self.update_upstream(event)
+        self.post(event)
 
     def update_upstream(self, event: EndpointsListed) -> None:
         """Update the pool from a list or a watch event."""
-        for endpoint in event.endpoints:
-            address = self._directory.addresses.get(endpoint.name)
-            if address is not None:
-                ready = endpoint.state is EndpointState.READY
-                self._upstream.update_endpoint(endpoint.name, address, endpoint.started_ms, ready)
-        if event.kind is ListKind.FAILED:
-            return
-        if event.kind is not ListKind.DELTA:
-            self._upstream.retain_endpoints(self._directory.entries.keys(), self._retired_names())
-            return
-        for entry in event.endpoints:
-            if entry.name not in self._directory.entries:
-                self._upstream.remove_gone(entry.name)
-
-    def _retired_names(self) -> Set[str]:
-        return self.retired_endpoint_names() if self.retired_endpoint_names is not None else frozenset()
+        retired = self.retired_endpoint_names
+        update_pool(self._upstream, self._directory, event, retired if retired is not None else frozenset)
 
     # Requests
 
@@ -341,7 +273,6 @@
             guard,
             request.received_ms if first_request_ms is None else first_request_ms,
         )
-        self._queued_arrivals.add(self._last_id)
         self.post(
             RequestArrived(
                 request_id=self._last_id,
@@ -364,16 +295,7 @@
             self._finish(pending, client_disconnected=True)
 
     def _notify_disconnected(self, request_id: int) -> None:
-        """Queue the disconnect ahead of all other events of this loop iteration.
-
-        Otherwise a retry due in the same iteration would be decided first. Its attempt would belong to no
-        pending request, and would count as in flight at its endpoint forever.
-        """
-        if request_id in self._queued_arrivals:
-            self._queued_arrivals.remove(request_id)
-            self._withdrawn_arrivals.add(request_id)
-            return
-        self._disconnects.appendleft(ClientDisconnected(request_id))
+        self._events.disconnect(request_id)
         self._schedule_flush()
 
     def _deadline_passed(self, request_id: int) -> None:
--- a/tests/proxy/test_discovery.py
+++ b/tests/proxy/test_discovery.py
@@ -10,6 +10,7 @@
 from client_proxy.api.events import EndpointsListed, EndpointState, ListKind
 from client_proxy.endpoint_directory import EndpointDirectory
 from client_proxy.proxy import discovery as module
+from client_proxy.proxy import endpoint_watch
 from client_proxy.proxy.discovery import Discovery
 from client_proxy.proxy.socket_state import SocketState
 from tests.proxy.sockets import Host, Registry, entry, run, until
@@ -98,8 +99,8 @@
 def test_broken_watch_is_reported_once_as_failed(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     # A partitioned discovery sends nothing, not even an end of stream; only a timeout detects it.
     if how == "silence":
-        monkeypatch.setattr(module, "WATCH_TIMEOUT_S", 0.1)
-        monkeypatch.setattr(module, "RESPONSE_TIMEOUT_S", 600.0)
+        monkeypatch.setattr(endpoint_watch, "WATCH_TIMEOUT_S", 0.1)
+        monkeypatch.setattr(endpoint_watch, "RESPONSE_TIMEOUT_S", 600.0)
 
     async def test() -> None:
         registry = await Registry().start()
--- a/tests/proxy/test_list_in_pieces.py
+++ b/tests/proxy/test_list_in_pieces.py
@@ -10,7 +10,7 @@
 import pytest
 
 from client_proxy.endpoint_list import ENTRIES_PER_STEP, EndpointList, read_list, read_list_text
-from client_proxy.proxy.discovery import MAX_FRAMING_BYTES, PARSE_STEP_BYTES, EndpointWatch
+from client_proxy.proxy.endpoint_watch import MAX_FRAMING_BYTES, PARSE_STEP_BYTES, EndpointWatch
 from client_proxy.proxy.json_lines import JsonTexts
 from tests.proxy.sockets import Client, Host, Json, entry, proxy, run, until
 
--- a/tests/proxy/test_many_changes.py
+++ b/tests/proxy/test_many_changes.py
@@ -6,7 +6,7 @@
 
 from client_proxy.api.events import EndpointsListed, ListedEndpoint, ListKind
 from client_proxy.endpoint_list import ENTRIES_PER_STEP
-from client_proxy.proxy.engine import split_list
+from client_proxy.proxy.list_steps import split_list
 from tests.proxy.sockets import KEYED_CLASS, Client, Host, entry, proxy, run, until
 
 LISTED = 3200  # entries of the largest list that the pages name
--- a/tests/proxy/test_told_in_time.py
+++ b/tests/proxy/test_told_in_time.py
@@ -18,6 +18,7 @@
 from client_proxy.emulator.virtual import Scheduler, VirtualLoop
 from client_proxy.endpoint_directory import EndpointDirectory
 from client_proxy.proxy import discovery as module
+from client_proxy.proxy import endpoint_watch
 from client_proxy.proxy.discovery import Discovery
 from client_proxy.proxy.engine import Engine
 from client_proxy.proxy.upstream_pool import UpstreamPool
@@ -173,7 +174,9 @@
 
 
 def test_call_stages_fit_into_the_notification_limit() -> None:
-    stage_s = max(module.CONNECT_TIMEOUT_S, module.RESPONSE_TIMEOUT_S, module.WATCH_TIMEOUT_S)
+    stage_s = max(
+        endpoint_watch.CONNECT_TIMEOUT_S, endpoint_watch.RESPONSE_TIMEOUT_S, endpoint_watch.WATCH_TIMEOUT_S
+    )
     wait_s = max(module.RETRY_DELAY_S, MAX_RESUBSCRIBE_MS / 1000.0)
     assert stage_s + wait_s + module.NEXT_CALL_S <= module.NOTIFICATION_LIMIT_S
     assert RESPONSE_DELAY_S < module.NEXT_CALL_S
