Read all clients into one buffer, so that no large buffer is made for each read

Cause: buffers from 64 KiB on have pages of their own; a read of 256 KiB made one each time. Change: client connections read into one shared buffer of 256 KiB; what is kept is copied once.

--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -33,7 +33,7 @@
 NOT_FORWARDED = (b"endpoint-load-metrics",)  # the endpoint's load report is not for the client
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, which serves one request at a time, in order."""
 
     def __init__(
@@ -109,7 +109,15 @@
             self._engine.client_disconnected(self._current_id)
             self._current_id = self._engine = None
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections share for reading; it is emptied at once."""
+        return self._context.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Accept the bytes that were read into the buffer."""
+        self.data_received(self._context.read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Accept the next bytes of the stream; process them now or, after a stall, a little later."""
         if self._phase is not Phase.OPEN or self._too_much_ahead:
             self._discard(data)
@@ -173,7 +181,7 @@
         if self._socket_state is None or not self._socket_state.has_unread_data():
             self._unread_since_ms = None
 
-    def _discard(self, data: bytes) -> None:
+    def _discard(self, data: bytes | memoryview) -> None:
         """Count and drop bytes after the last request; past the limit, stop reading.
 
         Without the limit a client that never stops sending would be read forever, or would delay the
--- a/client_proxy/proxy/connection_context.py
+++ b/client_proxy/proxy/connection_context.py
@@ -72,6 +72,7 @@
     trace_ids: TraceIds
     stall_detector: StallDetector
     read_scheduler: ReadScheduler
+    read_buffer: memoryview  # into which the bytes of each connection are read, one after the other
     rejects_new_requests: bool  # the process is about to exit: requests not yet started are rejected
 
     def connection_opened(self, connection: ConnectionT) -> None:
--- a/client_proxy/proxy/listener.py
+++ b/client_proxy/proxy/listener.py
@@ -26,6 +26,7 @@
 REQUEST_TIMEOUT_MS = 2000.0
 SWEEP_S = 0.25  # s between two checks for timed-out connections
 CLOSE_TIMEOUT_S = 0.5  # s for clients to close their sides in a shutdown, once all requests are answered
+READ_BUFFER_BYTES = 256 * 1024  # read of one connection in one iteration of the loop
 TURNS_TO_READ = 3  # loop iterations that accept and read what the kernel has queued
 
 
@@ -58,6 +59,7 @@
         self.trace_ids = TraceIds(settings.classes, account.max_trace_ids)
         self.stall_detector = StallDetector()
         self.read_scheduler = ReadScheduler()
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.rejects_new_requests = False
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
