Answer 503 to a first request that waits unparsed while memory is short, as to an unfinished one

Callers: with too much held of all clients, one whose only request had not been parsed yet got 413, an error, where one whose request had been parsed in part got 503, a harmless refusal; which of the two hung on the time that others took in that iteration. Cause: what is unparsed counted as ahead of its turn, also where nothing was before it. Change: 413 only where a request of the same connection is before it.

--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -254,12 +254,14 @@
         """
         if not self._limits.holds_most(self):
             self._limits.enforce_waiting()
-        elif self._phase is Phase.OPEN and (self._pipeline or self._unread):
+        elif self._phase is not Phase.OPEN:
+            return
+        elif self._pipeline or (self._unread and self._in_progress):
             self._reject(BadRequestError(413, "too much ahead of its turn"))
             self._start_next_request()
             self._count_held()
-        elif self._phase is Phase.OPEN:
-            self.reject_waiting()
+        else:
+            self.reject_waiting()  # its only request has not come whole, or is not parsed yet
 
     def _reject(self, error: BadRequestError) -> None:
         """Queue an error response behind the pending ones, and read no further requests."""
