Say in three comments what the code does now

Cause: the doc comment on discarded bytes told of a read pause that is gone; two older comments read as if they told how a value was found. Change: text of comments only.

--- a/client_proxy/api/events.py
+++ b/client_proxy/api/events.py
@@ -1,6 +1,6 @@
 """The events that a client proxy reports to its balancer.
 
-Times are milliseconds on one monotonic clock chosen by the proxy, durations are in milliseconds too; the
+Times are milliseconds on the proxy's monotonic clock, durations are in milliseconds too; the
 names of both end in ``_ms``. Ids (of requests, endpoints, zones and cells) are opaque: they are compared and
 returned, never interpreted.
 """
--- a/client_proxy/proxy/client_connection.py
+++ b/client_proxy/proxy/client_connection.py
@@ -182,10 +182,9 @@
             self._unread_since_ms = None
 
     def _discard(self, data: bytes | memoryview) -> None:
-        """Count and drop bytes after the last request; past the limit, stop reading.
+        """Count and drop bytes after the last request; past the limit, close a half-closed connection.
 
-        Without the limit a client that never stops sending would be read forever, or would delay the
-        responses that are still pending.
+        Without the limit a client that never stops sending would be read forever.
         """
         self._discarded += len(data)
         if self._discarded <= MAX_DISCARDED_BYTES or self._transport is None:
--- a/client_proxy/routing/locality/zone_state.py
+++ b/client_proxy/routing/locality/zone_state.py
@@ -44,7 +44,7 @@
     listed: ListedEndpoint
     peak_concurrency: float = 0.0  # most requests executed at once while it answered in time; decays
     service_time_ms: float = 0.0  # ms; smoothed time in which it executes a request
-    measured_ms: float = 0.0  # when the last load report was measured
+    measured_ms: float = 0.0  # time of the last load report
     consecutive_unanswered: int = 0
 
     @property
